--- /dev/null
+++ b/crates/cli/src/commands/demo.rs
@@ -0,0 +1,64 @@
+//! Plays a term opening with stand-ins and daemons in this process.
+
+use std::path::Path;
+
+use teaselcroft_standins::{Report, Runtime, Site, ThreadFleet, Trace, demo_trace, play, render};
+
+use crate::exit_code::{CommandError, ExitCode};
+use crate::output::print_json;
+
+const SHOWN_VIOLATIONS: usize = 20;
+
+fn failed(reason: impl ToString) -> CommandError {
+    CommandError::Input(reason.to_string())
+}
+
+/// Plays the trace in `path`, or the demo of `site`.
+///
+/// # Errors
+///
+/// The trace cannot be read or played, or the report cannot be written.
+pub fn run(
+    site: Site,
+    path: Option<&Path>,
+    report_path: Option<&Path>,
+    write_path: Option<&Path>,
+    json: bool,
+) -> Result<ExitCode, CommandError> {
+    let trace = match path {
+        Some(path) => read(path)?,
+        None => demo_trace(site),
+    };
+    if let Some(write_path) = write_path {
+        let text = trace.to_text().map_err(failed)?;
+        std::fs::write(write_path, text).map_err(failed)?;
+        return Ok(ExitCode::Success);
+    }
+    let runtime = Runtime::start().map_err(failed)?;
+    let fleet = ThreadFleet::new(runtime.executor());
+    let progress = |text: &str| {
+        if !json {
+            println!("{text}");
+        }
+    };
+    let played = smol::block_on(play(runtime.executor(), trace, fleet, progress)).map_err(failed)?;
+    let report = Report::of(&played);
+    if json {
+        print_json(&report);
+    } else {
+        println!("{}", render(&report, |class| played.rules.get(class).map_or(0, |rule| rule.target.0)));
+        for reason in report.reasons.iter().take(SHOWN_VIOLATIONS) {
+            println!("violated: {reason}");
+        }
+    }
+    if let Some(report_path) = report_path {
+        let text = serde_json::to_string_pretty(&report).map_err(failed)?;
+        std::fs::write(report_path, text).map_err(failed)?;
+    }
+    Ok(if report.holds() { ExitCode::Success } else { ExitCode::Failure })
+}
+
+fn read(path: &Path) -> Result<Trace, CommandError> {
+    let text = std::fs::read_to_string(path).map_err(|error| failed(format!("{}: {error}", path.display())))?;
+    Trace::parse(&text).map_err(|error| failed(format!("{}: {error}", path.display())))
+}
--- /dev/null
+++ b/crates/parts/src/config_register.rs
@@ -0,0 +1,47 @@
+//! The newest accepted configuration of each team, whatever order news arrives in.
+
+use std::collections::BTreeMap;
+
+use crate::TeamName;
+
+/// One accepted configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigValue {
+    /// The platform's version of the write that accepted it; rises with every accepted write.
+    pub version: u64,
+    /// The serialized configuration.
+    pub value: Vec<u8>,
+}
+
+/// Keeps, for each team, the configuration with the highest version ever seen.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigRegister {
+    teams: BTreeMap<TeamName, ConfigValue>,
+}
+
+impl ConfigRegister {
+    /// Takes in `config` if it is newer than what is held; true if it now is in force.
+    pub fn offer(&mut self, team: TeamName, config: ConfigValue) -> bool {
+        let held = self.teams.get(&team).map_or(0, |held| held.version);
+        if config.version <= held {
+            return false;
+        }
+        self.teams.insert(team, config);
+        true
+    }
+
+    /// The configuration in force for `team`.
+    pub fn get(&self, team: &TeamName) -> Option<&ConfigValue> {
+        self.teams.get(team)
+    }
+
+    /// The highest version held; peers with a lower clock lack something.
+    pub fn clock(&self) -> u64 {
+        self.teams.values().map(|held| held.version).max().unwrap_or(0)
+    }
+
+    /// Every configuration newer than `clock`.
+    pub fn newer_than(&self, clock: u64) -> impl Iterator<Item = (&TeamName, &ConfigValue)> {
+        self.teams.iter().filter(move |(_, held)| held.version > clock)
+    }
+}
--- /dev/null
+++ b/crates/parts/src/lib.rs
@@ -0,0 +1,36 @@
+//! Coordination parts that a set of processes can embed to share work safely.
+//!
+//! Every part is a pure state machine: it takes events and a time and returns what to do. None
+//! performs I/O, reads a clock or draws its own randomness, so that any driver can step it.
+
+mod config_register;
+mod fingerprint;
+mod gap_witness;
+mod incarnation;
+mod key_digest;
+mod lease_clock;
+mod membership;
+mod millis;
+mod names;
+mod outage_consent;
+mod rendezvous;
+mod retry_budget;
+mod slot_id;
+mod slot_journal;
+mod slot_record;
+
+pub use config_register::{ConfigRegister, ConfigValue};
+pub use fingerprint::Fingerprint;
+pub use gap_witness::{GapWitness, WitnessAnswer};
+pub use incarnation::{Incarnation, Member};
+pub use key_digest::KeyDigest;
+pub use lease_clock::LeaseClock;
+pub use membership::{Membership, MembershipSettings, PeerHealth};
+pub use millis::Millis;
+pub use names::{ClassName, CustomerName, DaemonName, ModelName, NameError, RequestId, RunnerName, TeamName, ZoneName};
+pub use outage_consent::OutageConsent;
+pub use rendezvous::{rank, winner};
+pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use slot_id::{SlotId, slot_of};
+pub use slot_journal::{ClaimAnswer, CommitWrite, ConflictAnswer, JournalSettings, SlotJournal};
+pub use slot_record::{SlotRecord, SlotRecordWire};
--- /dev/null
+++ b/crates/parts/src/membership.rs
@@ -0,0 +1,146 @@
+//! Which peers are alive, judged from heartbeats and broken connections.
+
+use std::collections::BTreeMap;
+
+use crate::{DaemonName, Incarnation, Member, Millis};
+
+/// Bounds of failure detection.
+#[derive(Debug, Clone)]
+pub struct MembershipSettings {
+    /// A peer not heard for this long counts as dead.
+    pub dead_after: Millis,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> MembershipSettings {
+        MembershipSettings { dead_after: Millis(2_000) }
+    }
+}
+
+/// What is known of one peer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerHealth {
+    /// Never heard from.
+    Unknown,
+    /// Heard from lately.
+    Live(Incarnation),
+    /// Heard from lately, and about to stop.
+    Leaving(Incarnation),
+    /// Silent for too long, or refusing connections.
+    Dead,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    incarnation: Incarnation,
+    heard: Millis,
+    leaving: bool,
+    refused: bool,
+}
+
+/// A daemon's own view of the daemons of its cell.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    settings: MembershipSettings,
+    me: Member,
+    leaving: bool,
+    peers: BTreeMap<DaemonName, Peer>,
+}
+
+impl Membership {
+    /// A view that holds `me` alone.
+    pub const fn new(settings: MembershipSettings, me: Member) -> Membership {
+        Membership { settings, me, leaving: false, peers: BTreeMap::new() }
+    }
+
+    /// This daemon.
+    pub const fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Marks this daemon as about to stop.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Whether this daemon is about to stop.
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Records a heartbeat from `peer`; an older incarnation than one already heard is ignored.
+    pub fn heard(&mut self, now: Millis, peer: &Member, leaving: bool) {
+        let known = self.peers.get(&peer.name);
+        if known.is_some_and(|known| known.incarnation > peer.incarnation) {
+            return;
+        }
+        let state = Peer { incarnation: peer.incarnation, heard: now, leaving, refused: false };
+        self.peers.insert(peer.name.clone(), state);
+    }
+
+    /// Records that this process was paused for `span`, in which it could not hear anyone.
+    pub fn resumed(&mut self, span: Millis) {
+        for peer in self.peers.values_mut() {
+            peer.heard = peer.heard + span;
+        }
+    }
+
+    /// Records that `peer` refused a connection: its process is gone until it is heard again.
+    pub fn refused(&mut self, peer: &DaemonName) {
+        if let Some(peer) = self.peers.get_mut(peer) {
+            peer.refused = true;
+        }
+    }
+
+    /// What is known of `peer` at `now`.
+    pub fn health(&self, now: Millis, peer: &DaemonName) -> PeerHealth {
+        if *peer == self.me.name {
+            return self.own_health();
+        }
+        let Some(known) = self.peers.get(peer) else {
+            return PeerHealth::Unknown;
+        };
+        if known.refused || now.since(known.heard) >= self.settings.dead_after {
+            return PeerHealth::Dead;
+        }
+        if known.leaving {
+            return PeerHealth::Leaving(known.incarnation);
+        }
+        PeerHealth::Live(known.incarnation)
+    }
+
+    fn own_health(&self) -> PeerHealth {
+        if self.leaving {
+            return PeerHealth::Leaving(self.me.incarnation);
+        }
+        PeerHealth::Live(self.me.incarnation)
+    }
+
+    /// Live peers and this daemon, without those about to stop.
+    pub fn live(&self, now: Millis) -> Vec<Member> {
+        let mut live: Vec<Member> = self.live_peers(now);
+        if !self.leaving {
+            live.push(self.me.clone());
+        }
+        live.sort();
+        live
+    }
+
+    /// Live peers without this daemon and without those about to stop.
+    pub fn live_peers(&self, now: Millis) -> Vec<Member> {
+        let names = self.peers.keys();
+        let live = names.filter_map(|name| match self.health(now, name) {
+            PeerHealth::Live(incarnation) => Some(Member { name: name.clone(), incarnation }),
+            _ => None,
+        });
+        live.collect()
+    }
+
+    /// Whether the very incarnation `member` is alive, leaving or not.
+    pub fn is_alive(&self, now: Millis, member: &Member) -> bool {
+        match self.health(now, &member.name) {
+            PeerHealth::Live(seen) | PeerHealth::Leaving(seen) => seen == member.incarnation,
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/parts/src/names.rs
@@ -0,0 +1,107 @@
+//! Names of the things the system routes between.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+const MAX_NAME_BYTES: usize = 128;
+
+/// A name that is empty, too long or holds a control character.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NameError;
+
+impl fmt::Display for NameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a name needs 1 to {MAX_NAME_BYTES} bytes and no control characters")
+    }
+}
+
+impl std::error::Error for NameError {}
+
+fn check_name(text: &str) -> Result<(), NameError> {
+    let fits = (1..=MAX_NAME_BYTES).contains(&text.len());
+    if fits && !text.chars().any(char::is_control) {
+        return Ok(());
+    }
+    Err(NameError)
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<$name, NameError> {
+                check_name(text)?;
+                Ok($name(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<$name, NameError> {
+                check_name(&text)?;
+                Ok($name(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// An entry daemon, the same across restarts.
+    DaemonName
+);
+name_type!(
+    /// A runner: a model engine or a plain service instance.
+    RunnerName
+);
+name_type!(
+    /// A customer, identified by its bearer key.
+    CustomerName
+);
+name_type!(
+    /// A request class of a questionnaire.
+    ClassName
+);
+name_type!(
+    /// A team of operators that answers one questionnaire.
+    TeamName
+);
+name_type!(
+    /// An availability zone.
+    ZoneName
+);
+name_type!(
+    /// A model or plain service that a group of runners offers.
+    ModelName
+);
+name_type!(
+    /// A request, as its caller named it.
+    RequestId
+);
--- /dev/null
+++ b/crates/parts/src/outage_consent.rs
@@ -0,0 +1,38 @@
+//! The bounded permission to run calls while the journal cannot be written.
+
+use crate::{LeaseClock, Millis};
+
+const CONSENT_TTL_MS: Millis = Millis(5_000);
+const CONSENT_MARGIN_MS: Millis = Millis(500);
+
+/// A permission given by a witness for a few seconds and renewed while the outage lasts.
+#[derive(Debug, Clone)]
+pub struct OutageConsent {
+    lease: LeaseClock,
+}
+
+impl Default for OutageConsent {
+    fn default() -> OutageConsent {
+        OutageConsent { lease: LeaseClock::new(CONSENT_TTL_MS, CONSENT_MARGIN_MS) }
+    }
+}
+
+impl OutageConsent {
+    /// How long a consent can outlast its giver's last word.
+    pub const TTL: Millis = CONSENT_TTL_MS;
+
+    /// Records a consent that was asked for at `sent`.
+    pub fn granted(&mut self, sent: Millis) {
+        self.lease.renewed(sent);
+    }
+
+    /// Ends the consent.
+    pub fn end(&mut self) {
+        self.lease.lost();
+    }
+
+    /// Whether calls may run outside the journal at `now`.
+    pub fn is_valid(&self, now: Millis) -> bool {
+        self.lease.is_valid(now)
+    }
+}
--- /dev/null
+++ b/crates/parts/src/rendezvous.rs
@@ -0,0 +1,13 @@
+//! Rendezvous hashing: every process ranks candidates alike without talking.
+
+use crate::Fingerprint;
+
+/// The weight of `candidate` for `subject`; the largest weight wins.
+pub fn rank(subject: &str, candidate: &str) -> u64 {
+    Fingerprint::of(&[subject.as_bytes(), candidate.as_bytes()]).0
+}
+
+/// The candidate with the largest weight for `subject`, or `None` if there is none.
+pub fn winner<'a>(subject: &str, candidates: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    candidates.max_by_key(|candidate| (rank(subject, candidate), *candidate))
+}
--- /dev/null
+++ b/crates/parts/src/slot_journal.rs
@@ -0,0 +1,465 @@
+//! The journal through which one executor claims the keys of one slot.
+//!
+//! Every claim is a compare-and-swap on the slot's record, which also names the executor. A
+//! successor swaps the same record, so an executor that was replaced cannot commit another claim,
+//! however long it was paused. While the service does not answer, claims continue under an
+//! [`OutageConsent`] and are written when it returns.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::ops::RangeInclusive;
+
+use crate::{KeyDigest, Member, Millis, OutageConsent, SlotRecord};
+
+/// Bounds of a slot's journal.
+#[derive(Debug, Clone)]
+pub struct JournalSettings {
+    /// How long a claimed key is remembered; at least the longest patience of a caller.
+    pub retention: Millis,
+    /// The longest time for which a caller sends the same request again.
+    pub patience: Millis,
+}
+
+impl Default for JournalSettings {
+    fn default() -> JournalSettings {
+        JournalSettings { retention: Millis(300_000), patience: Millis(60_000) }
+    }
+}
+
+/// The answer to a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// This daemon does not execute the slot.
+    NotOwner,
+    /// The claim waits for a commit; [`SlotJournal::commit_done`] returns it.
+    Pending,
+    /// The caller may run the call now, once.
+    Granted,
+    /// This executor was granted the key before.
+    Repeated,
+    /// An earlier executor claimed the key; the call may have run.
+    Inherited,
+    /// An earlier executor may have claimed the key without a trace; the call may have run.
+    Uncertain,
+}
+
+/// A compare-and-swap to send to the key-value service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommitWrite {
+    /// The value to write.
+    pub record: SlotRecord,
+    /// The version that the service must still hold; zero for a key that does not exist.
+    pub expected: u64,
+}
+
+/// What a conflict meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConflictAnswer {
+    /// The write had taken effect and its reply was lost; these keys are granted.
+    Committed(Vec<KeyDigest>),
+    /// Another daemon owns the slot now; these keys were not run here.
+    Moved(Vec<KeyDigest>),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    Own,
+    Inherited,
+}
+
+#[derive(Debug, Clone)]
+struct Claim {
+    origin: Origin,
+    at: Millis,
+}
+
+#[derive(Debug, Clone)]
+struct Flight {
+    write: CommitWrite,
+    keys: Vec<KeyDigest>,
+    catches_up: Vec<KeyDigest>,
+    sent: Millis,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Owned {
+    epoch: u64,
+    version: u64,
+    claims: BTreeMap<KeyDigest, Claim>,
+    pending: Vec<KeyDigest>,
+    unjournaled: Vec<KeyDigest>,
+    flight: Option<Flight>,
+    gap_until: Option<Millis>,
+    consent: OutageConsent,
+    witnesses: Vec<Member>,
+    candidates: Vec<Member>,
+    denied: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Role {
+    Idle,
+    Acquiring(CommitWrite),
+    Owner(Box<Owned>),
+}
+
+/// One daemon's side of one slot.
+#[derive(Debug, Clone)]
+pub struct SlotJournal {
+    settings: JournalSettings,
+    me: Member,
+    role: Role,
+    writes: u64,
+}
+
+impl SlotJournal {
+    /// A journal of a slot that `me` does not own.
+    pub const fn new(settings: JournalSettings, me: Member) -> SlotJournal {
+        SlotJournal { settings, me, role: Role::Idle, writes: 0 }
+    }
+
+    /// The epoch under which this daemon owns the slot.
+    pub fn epoch(&self) -> Option<u64> {
+        self.owned().map(|owned| owned.epoch)
+    }
+
+    /// The peers that may witness a gap: those in every record that the service may hold now.
+    pub fn witnesses(&self) -> Vec<Member> {
+        let Some(owned) = self.owned() else {
+            return Vec::new();
+        };
+        let Some(flight) = &owned.flight else {
+            return owned.witnesses.clone();
+        };
+        let sent = &flight.write.record.witnesses;
+        owned.witnesses.iter().filter(|witness| sent.contains(witness)).cloned().collect()
+    }
+
+    /// The epochs of every record that the service may hold now.
+    pub fn gap_epochs(&self) -> Option<RangeInclusive<u64>> {
+        let owned = self.owned()?;
+        let flight = owned.flight.as_ref().map(|flight| flight.write.record.epoch);
+        Some(owned.epoch..=flight.unwrap_or(owned.epoch))
+    }
+
+    /// Records that a witness refused consent, so that the next commit begins a new epoch.
+    pub fn denied(&mut self) {
+        if let Some(owned) = self.owned_mut() {
+            owned.denied = true;
+        }
+    }
+
+    /// When the commit in flight was first sent.
+    pub fn flight_sent(&self) -> Option<Millis> {
+        self.owned()?.flight.as_ref().map(|flight| flight.sent)
+    }
+
+    /// Whether claims wait for a commit.
+    pub fn has_pending(&self) -> bool {
+        self.owned().is_some_and(Owned::has_pending)
+    }
+
+    /// Whether granted claims are missing from the record.
+    pub fn has_unjournaled(&self) -> bool {
+        self.owned().is_some_and(|owned| !owned.unjournaled.is_empty())
+    }
+
+    /// Whether unknown keys of this slot may have run before.
+    pub fn has_gap(&self, now: Millis) -> bool {
+        self.owned().is_some_and(|owned| owned.gap_until.is_some_and(|until| now < until))
+    }
+
+    /// Whether this daemon is acquiring the slot.
+    pub const fn is_acquiring(&self) -> bool {
+        matches!(self.role, Role::Acquiring(_))
+    }
+
+    fn owned(&self) -> Option<&Owned> {
+        match &self.role {
+            Role::Owner(owned) => Some(owned),
+            _ => None,
+        }
+    }
+
+    fn owned_mut(&mut self) -> Option<&mut Owned> {
+        match &mut self.role {
+            Role::Owner(owned) => Some(owned),
+            _ => None,
+        }
+    }
+
+    fn next_write(&mut self) -> u64 {
+        self.writes += 1;
+        self.me.incarnation.0.wrapping_add(self.writes)
+    }
+
+    /// Prepares the write by which this daemon takes over the slot.
+    ///
+    /// `current` is the record and version last read; `gapless` states that no call can have run
+    /// outside it.
+    pub fn take_over(
+        &mut self,
+        current: Option<(SlotRecord, u64)>,
+        gapless: bool,
+        witnesses: Vec<Member>,
+    ) -> CommitWrite {
+        let (base, expected) = current.unwrap_or_default();
+        let record = SlotRecord {
+            owner: Some(self.me.clone()),
+            epoch: base.epoch + 1,
+            write: self.next_write(),
+            gap: base.gap || !gapless,
+            witnesses,
+            claims: base.claims,
+        };
+        let write = CommitWrite { record, expected };
+        self.role = Role::Acquiring(write.clone());
+        write
+    }
+
+    /// Records that the takeover was written at `version`.
+    pub fn acquired(&mut self, now: Millis, version: u64) {
+        let Role::Acquiring(write) = &self.role else {
+            return;
+        };
+        let window = self.settings.patience + OutageConsent::TTL;
+        let record = &write.record;
+        let claims = record.claims.iter().map(|key| (*key, Claim { origin: Origin::Inherited, at: now }));
+        let owned = Owned {
+            epoch: record.epoch,
+            version,
+            claims: claims.collect(),
+            gap_until: record.gap.then_some(now + window),
+            witnesses: record.witnesses.clone(),
+            candidates: record.witnesses.clone(),
+            ..Owned::default()
+        };
+        self.role = Role::Owner(Box::new(owned));
+    }
+
+    /// Records that the takeover did not succeed; true if `actual` shows that it had after all.
+    pub fn acquire_conflict(&mut self, now: Millis, actual: Option<&(SlotRecord, u64)>) -> bool {
+        let Role::Acquiring(write) = &self.role else {
+            return false;
+        };
+        if let Some((record, version)) = actual
+            && record.write == write.record.write
+            && record.owner == write.record.owner
+        {
+            self.acquired(now, *version);
+            return true;
+        }
+        self.role = Role::Idle;
+        false
+    }
+
+    /// Gives up an acquisition whose write was not answered, so that the slot is read again.
+    pub fn acquire_unknown(&mut self) {
+        if self.is_acquiring() {
+            self.role = Role::Idle;
+        }
+    }
+
+    /// Asks to run the call with `key`.
+    pub fn claim(&mut self, now: Millis, key: KeyDigest) -> ClaimAnswer {
+        let Some(owned) = self.owned_mut() else {
+            return ClaimAnswer::NotOwner;
+        };
+        if let Some(claim) = owned.claims.get(&key) {
+            return match claim.origin {
+                Origin::Own => ClaimAnswer::Repeated,
+                Origin::Inherited => ClaimAnswer::Inherited,
+            };
+        }
+        if owned.is_waiting(key) {
+            return ClaimAnswer::Pending;
+        }
+        if owned.gap_until.is_some_and(|until| now < until) {
+            return ClaimAnswer::Uncertain;
+        }
+        if owned.consent.is_valid(now) {
+            owned.grant_unjournaled(now, key);
+            return ClaimAnswer::Granted;
+        }
+        owned.pending.push(key);
+        ClaimAnswer::Pending
+    }
+
+    /// Drops a claim that still waits, because its caller no longer wants it run.
+    ///
+    /// A claim whose commit was sent cannot be dropped; false then.
+    pub fn cancel(&mut self, key: KeyDigest) -> bool {
+        let Some(owned) = self.owned_mut() else {
+            return true;
+        };
+        let waiting = owned.pending.len();
+        owned.pending.retain(|pending| *pending != key);
+        owned.pending.len() < waiting
+    }
+
+    /// Names the peers to use as witnesses from the next commit on.
+    pub fn set_candidates(&mut self, candidates: Vec<Member>) {
+        if let Some(owned) = self.owned_mut() {
+            owned.candidates = candidates;
+        }
+    }
+
+    /// The next write to send, if one is due and none is in flight.
+    pub fn next_commit(&mut self, now: Millis) -> Option<CommitWrite> {
+        let retention = self.settings.retention;
+        let owned = self.owned_mut()?;
+        if owned.flight.is_some() || !owned.is_due(now) {
+            return None;
+        }
+        owned.purge(now, retention);
+        let write_id = self.next_write();
+        let owner = Some(self.me.clone());
+        let owned = self.owned_mut()?;
+        Some(owned.begin_commit(now, owner, write_id))
+    }
+
+    /// The write in flight, to send again after no reply.
+    pub fn repeat_commit(&self) -> Option<CommitWrite> {
+        self.owned()?.flight.as_ref().map(|flight| flight.write.clone())
+    }
+
+    /// Records that the write in flight took effect as `version`; returns the keys granted by it.
+    pub fn commit_done(&mut self, now: Millis, version: u64) -> Vec<KeyDigest> {
+        let Some(owned) = self.owned_mut() else {
+            return Vec::new();
+        };
+        owned.finish_commit(now, version)
+    }
+
+    /// Resolves the write in flight after a conflict with `actual`.
+    pub fn commit_conflict(&mut self, now: Millis, actual: Option<(SlotRecord, u64)>) -> ConflictAnswer {
+        let Some(owned) = self.owned_mut() else {
+            return ConflictAnswer::Moved(Vec::new());
+        };
+        let sent = owned.flight.as_ref().map(|flight| flight.write.record.write);
+        if let Some((record, version)) = actual
+            && Some(record.write) == sent
+        {
+            return ConflictAnswer::Committed(owned.finish_commit(now, version));
+        }
+        let mut keys = std::mem::take(&mut owned.pending);
+        keys.extend(owned.flight.take().map(|flight| flight.keys).unwrap_or_default());
+        self.role = Role::Idle;
+        ConflictAnswer::Moved(keys)
+    }
+
+    /// Records a witness's consent that was asked for at `sent`; returns the keys granted by it.
+    pub fn consented(&mut self, now: Millis, sent: Millis) -> Vec<KeyDigest> {
+        let Some(owned) = self.owned_mut() else {
+            return Vec::new();
+        };
+        owned.consent.granted(sent);
+        if !owned.consent.is_valid(now) {
+            return Vec::new();
+        }
+        owned.grant_waiting(now)
+    }
+
+    /// Prepares the write that releases the slot, if every claim is in the record.
+    pub fn release(&mut self, now: Millis) -> Option<CommitWrite> {
+        let write_id = self.next_write();
+        let owned = self.owned_mut()?;
+        let busy = owned.flight.is_some() || owned.has_pending() || !owned.unjournaled.is_empty();
+        if busy {
+            return None;
+        }
+        Some(owned.begin_commit(now, None, write_id))
+    }
+
+    /// Records that the release was written.
+    pub fn released(&mut self) {
+        self.role = Role::Idle;
+    }
+}
+
+impl Owned {
+    fn has_pending(&self) -> bool {
+        !self.pending.is_empty() || self.flight.as_ref().is_some_and(|flight| !flight.keys.is_empty())
+    }
+
+    fn is_waiting(&self, key: KeyDigest) -> bool {
+        self.pending.contains(&key) || self.flight.as_ref().is_some_and(|flight| flight.keys.contains(&key))
+    }
+
+    fn is_due(&self, now: Millis) -> bool {
+        let gap_over = self.gap_until.is_some_and(|until| now >= until);
+        let moved = self.candidates != self.witnesses;
+        gap_over || moved || self.denied || !self.pending.is_empty() || !self.unjournaled.is_empty()
+    }
+
+    fn purge(&mut self, now: Millis, retention: Millis) {
+        self.claims.retain(|_, claim| now.since(claim.at) < retention);
+        if self.gap_until.is_some_and(|until| now >= until) {
+            self.gap_until = None;
+        }
+    }
+
+    fn begin_commit(&mut self, now: Millis, owner: Option<Member>, write: u64) -> CommitWrite {
+        let keys = std::mem::take(&mut self.pending);
+        let catches_up = self.unjournaled.clone();
+        let rises = self.denied || !catches_up.is_empty();
+        self.denied = false;
+        let mut claims: Vec<KeyDigest> = self.claims.keys().copied().collect();
+        claims.extend(&keys);
+        let record = SlotRecord {
+            owner,
+            epoch: self.epoch + u64::from(rises),
+            write,
+            gap: self.gap_until.is_some(),
+            witnesses: self.candidates.clone(),
+            claims,
+        };
+        let write = CommitWrite { record, expected: self.version };
+        self.flight = Some(Flight { write: write.clone(), keys, catches_up, sent: now });
+        write
+    }
+
+    fn finish_commit(&mut self, now: Millis, version: u64) -> Vec<KeyDigest> {
+        let Some(flight) = self.flight.take() else {
+            return Vec::new();
+        };
+        self.version = version;
+        self.epoch = flight.write.record.epoch;
+        self.witnesses = flight.write.record.witnesses;
+        self.unjournaled.retain(|key| !flight.catches_up.contains(key) && !flight.keys.contains(key));
+        if self.unjournaled.is_empty() {
+            self.consent.end();
+        }
+        let granted = flight.keys.into_iter().filter(|key| self.grant(now, *key));
+        granted.collect()
+    }
+
+    /// Grants `key` unless it was granted before.
+    fn grant(&mut self, now: Millis, key: KeyDigest) -> bool {
+        match self.claims.entry(key) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(free) => {
+                free.insert(Claim { origin: Origin::Own, at: now });
+                true
+            }
+        }
+    }
+
+    fn grant_unjournaled(&mut self, now: Millis, key: KeyDigest) {
+        if self.grant(now, key) {
+            self.unjournaled.push(key);
+        }
+    }
+
+    fn grant_waiting(&mut self, now: Millis) -> Vec<KeyDigest> {
+        let mut waiting = std::mem::take(&mut self.pending);
+        if let Some(flight) = &self.flight {
+            waiting.extend(&flight.keys);
+        }
+        waiting.retain(|key| !self.claims.contains_key(key));
+        for key in &waiting {
+            self.grant_unjournaled(now, *key);
+        }
+        waiting
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher.rs
@@ -0,0 +1,534 @@
+//! Grants the runners of one shard to the requests that wait for them.
+//!
+//! The dispatcher sees descriptors, never content. Entry daemons keep a place open for as long as
+//! a request lives, so a new dispatcher learns everything from them and nothing has to be stored.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use slotmap::{SlotMap, new_key_type};
+use teaselcroft_parts::{Fingerprint, Millis, RunnerName};
+
+use crate::{
+    Descriptor, DispatchSettings, EndKind, FairQueue, HoldTimes, LoadReport, Outcome, PrefixMap, ResultCode,
+    RunnerInfo, RunnerKey, RunnerPool, Suspects, Tier,
+};
+
+const MIN_RETRY: Millis = Millis(200);
+const MAX_RETRY: Millis = Millis(10_000);
+const PREEMPT_SHARE: u32 = 8;
+
+new_key_type! {
+    /// Identifies a request within one dispatcher.
+    pub struct PlaceKey;
+}
+
+/// What the driver has to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DispatchAction {
+    /// Tell the request to run.
+    Grant {
+        /// The request.
+        place: PlaceKey,
+        /// Where it runs.
+        runner: RunnerInfo,
+        /// How long it waited.
+        waited: Millis,
+        /// Why that runner won.
+        reason: &'static str,
+    },
+    /// Tell the request that it is refused; its place is gone.
+    Refuse {
+        /// The request.
+        place: PlaceKey,
+        /// Why.
+        code: ResultCode,
+        /// When to try again.
+        retry: Millis,
+    },
+    /// Tell the running request to give up its runner and come back.
+    Preempt {
+        /// The request.
+        place: PlaceKey,
+    },
+    /// Tell every daemon that this content is refused from now on.
+    Condemn {
+        /// The content.
+        fingerprint: Fingerprint,
+    },
+    /// A runner was found much slower than the others.
+    Eject {
+        /// The runner.
+        runner: RunnerName,
+    },
+}
+
+/// Counts for operators.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct DispatchStats {
+    /// Requests that wait, by tier.
+    pub waiting: [u32; Tier::COUNT],
+    /// Requests that run.
+    pub running: u32,
+    /// Places at usable runners.
+    pub places: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum State {
+    Waiting,
+    Running { runner: Option<RunnerKey>, since: Millis, preempting: bool },
+}
+
+#[derive(Debug)]
+struct Place {
+    request: Descriptor,
+    state: State,
+    expected: Millis,
+}
+
+#[derive(Debug, Default)]
+struct TierQueue {
+    fair: FairQueue<PlaceKey>,
+    late: VecDeque<PlaceKey>,
+    waiting: u32,
+    hold_ms: u64,
+}
+
+/// Grants runners to requests.
+#[derive(Debug)]
+pub struct Dispatcher {
+    settings: DispatchSettings,
+    started: Millis,
+    pool: RunnerPool,
+    places: SlotMap<PlaceKey, Place>,
+    tiers: [TierQueue; Tier::COUNT],
+    apart: VecDeque<PlaceKey>,
+    running: BTreeSet<(Tier, Millis, PlaceKey)>,
+    lesser: u32,
+    preempting: u32,
+    holds: HoldTimes,
+    prefixes: PrefixMap,
+    suspects: Suspects,
+    grants: u64,
+    refused_at: Option<Millis>,
+}
+
+impl Dispatcher {
+    /// A dispatcher without runners that starts at `now`.
+    pub fn new(settings: DispatchSettings, now: Millis) -> Dispatcher {
+        let prefixes = PrefixMap::new(settings.prefix_max);
+        Dispatcher {
+            settings,
+            started: now,
+            pool: RunnerPool::default(),
+            places: SlotMap::with_key(),
+            tiers: Default::default(),
+            apart: VecDeque::new(),
+            running: BTreeSet::new(),
+            lesser: 0,
+            preempting: 0,
+            holds: HoldTimes::default(),
+            prefixes,
+            suspects: Suspects::default(),
+            grants: 0,
+            refused_at: None,
+        }
+    }
+
+    /// The runners of this shard.
+    pub const fn pool(&self) -> &RunnerPool {
+        &self.pool
+    }
+
+    /// Counts for operators.
+    pub fn stats(&self) -> DispatchStats {
+        DispatchStats {
+            waiting: std::array::from_fn(|tier| self.tiers[tier].waiting),
+            running: self.pool.granted(),
+            places: self.pool.places(),
+        }
+    }
+
+    /// Replaces the list of runners.
+    pub fn set_runners(&mut self, now: Millis, list: Vec<RunnerInfo>) -> Vec<DispatchAction> {
+        self.pool.set_runners(list);
+        self.pump(now)
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, now: Millis, runner: &RunnerName, report: LoadReport) -> Vec<DispatchAction> {
+        if let Some(key) = self.pool.find(runner) {
+            self.pool.report(now, key, report);
+        }
+        self.pump(now)
+    }
+
+    /// Takes in a refusal decided by another dispatcher.
+    pub fn condemn(&mut self, fingerprint: Fingerprint) {
+        self.suspects.condemn(fingerprint);
+    }
+
+    /// Every refused fingerprint.
+    pub fn condemned(&self) -> Vec<Fingerprint> {
+        self.suspects.condemned().collect()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Millis) -> Vec<DispatchAction> {
+        if now.since(self.started) >= self.settings.adopt_for {
+            self.pool.trust_own_counts();
+        }
+        let ejected = self.pool.tick(now, &self.settings);
+        let mut actions: Vec<DispatchAction> =
+            ejected.into_iter().map(|runner| DispatchAction::Eject { runner }).collect();
+        actions.extend(self.pump(now));
+        actions
+    }
+
+    /// Takes in a request; the answer may be among the actions.
+    pub fn enter(&mut self, now: Millis, request: Descriptor) -> (PlaceKey, Vec<DispatchAction>) {
+        let expected = self.holds.expected(&request.class, &request.rule);
+        let place = self.places.insert(Place { request, state: State::Waiting, expected });
+        if let Some((code, retry)) = self.refusal(now, place) {
+            self.places.remove(place);
+            return (place, vec![DispatchAction::Refuse { place, code, retry }]);
+        }
+        if self.adopt(now, place) {
+            return (place, Vec::new());
+        }
+        self.enqueue(place);
+        (place, self.pump(now))
+    }
+
+    fn refusal(&mut self, now: Millis, key: PlaceKey) -> Option<(ResultCode, Millis)> {
+        let place = self.places.get(key)?;
+        let request = &place.request;
+        if self.suspects.is_condemned(request.fingerprint) {
+            return Some((ResultCode::Condemned, Millis(0)));
+        }
+        if request.admitted || request.holding.is_some() {
+            return None;
+        }
+        let tier = request.rule.tier;
+        let full = self.tiers[tier.index()].waiting >= request.rule.queue_limit;
+        let wait = self.expected_wait(tier);
+        let limit = request.rule.wait_limit();
+        let limit = limit.since(place.expected).max(Millis(limit.0 / 4));
+        let waited = now.since(request.arrival);
+        if !full && (wait == Millis(0) || waited + wait <= limit) {
+            return None;
+        }
+        if tier.is_urgent() {
+            self.refused_at = Some(now);
+        }
+        let retry = Millis(wait.0 / 2).clamp(MIN_RETRY, MAX_RETRY);
+        Some((ResultCode::Overloaded, retry))
+    }
+
+    /// The expected wait of a request that enters `tier` now.
+    fn expected_wait(&self, tier: Tier) -> Millis {
+        let ahead = self.tiers.iter().take(tier.index() + 1);
+        let hold_ms: u64 = ahead.map(|queue| queue.hold_ms).sum();
+        Millis(hold_ms / u64::from(self.pool.places().max(1)))
+    }
+
+    /// Takes over a request that another dispatcher granted; true if it runs.
+    fn adopt(&mut self, now: Millis, key: PlaceKey) -> bool {
+        let Some(place) = self.places.get(key) else {
+            return false;
+        };
+        let Some(name) = &place.request.holding else {
+            return false;
+        };
+        let runner = self.pool.find(name);
+        self.begin(now, key, runner, None);
+        true
+    }
+
+    fn enqueue(&mut self, key: PlaceKey) {
+        let Some(place) = self.places.get(key) else {
+            return;
+        };
+        let request = &place.request;
+        let queue = &mut self.tiers[request.rule.tier.index()];
+        queue.waiting += 1;
+        queue.hold_ms += place.expected.0;
+        if self.suspects.is_suspect(request.fingerprint) {
+            self.apart.push_back(key);
+            let places = &self.places;
+            let tier = |key: &PlaceKey| places.get(*key).map(|place| place.request.rule.tier);
+            self.apart.make_contiguous().sort_by_key(tier);
+            return;
+        }
+        queue.fair.push(&request.customer, key, request.rule.cost(request.prompt_tokens));
+    }
+
+    fn dequeued(&mut self, key: PlaceKey) {
+        let Some(place) = self.places.get(key) else {
+            return;
+        };
+        let queue = &mut self.tiers[place.request.rule.tier.index()];
+        queue.waiting = queue.waiting.saturating_sub(1);
+        queue.hold_ms = queue.hold_ms.saturating_sub(place.expected.0);
+    }
+
+    fn is_waiting(places: &SlotMap<PlaceKey, Place>, key: PlaceKey) -> bool {
+        places.get(key).is_some_and(|place| matches!(place.state, State::Waiting))
+    }
+
+    /// Records that a request left, by its own account of how.
+    pub fn leave(&mut self, now: Millis, key: PlaceKey, outcome: Outcome) -> Vec<DispatchAction> {
+        let Some(place) = self.places.get(key) else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        match place.state {
+            State::Waiting => self.dequeued(key),
+            State::Running { runner, since, preempting } => {
+                actions.extend(self.judge(now, key, runner, outcome));
+                self.end(key, runner, since, preempting, now, outcome);
+            }
+        }
+        self.places.remove(key);
+        actions.extend(self.pump(now));
+        actions
+    }
+
+    fn end(
+        &mut self,
+        key: PlaceKey,
+        runner: Option<RunnerKey>,
+        since: Millis,
+        preempting: bool,
+        now: Millis,
+        outcome: Outcome,
+    ) {
+        let Some(place) = self.places.get(key) else {
+            return;
+        };
+        let tier = place.request.rule.tier;
+        self.running.remove(&(tier, since, key));
+        self.lesser -= u32::from(!tier.is_urgent());
+        self.preempting -= u32::from(preempting);
+        if outcome.kind == EndKind::Done {
+            self.holds.record(&place.request.class, now.since(since));
+        }
+        if let Some(runner) = runner {
+            self.pool.end(runner);
+        }
+    }
+
+    /// Draws conclusions about the runner and the request from how it ended.
+    fn judge(
+        &mut self,
+        now: Millis,
+        key: PlaceKey,
+        runner: Option<RunnerKey>,
+        outcome: Outcome,
+    ) -> Option<DispatchAction> {
+        let fingerprint = self.places.get(key)?.request.fingerprint;
+        match outcome.kind {
+            EndKind::Done => self.suspects.cleared(fingerprint),
+            EndKind::Refused => self.pool.down(runner?, now + self.settings.down_for),
+            EndKind::Broken => return self.judge_break(now, runner?, fingerprint),
+            EndKind::Cancelled | EndKind::Silent => {}
+        }
+        None
+    }
+
+    fn judge_break(&mut self, now: Millis, runner: RunnerKey, fingerprint: Fingerprint) -> Option<DispatchAction> {
+        let alone = self.pool.note_break(now, runner) == 1;
+        self.pool.down(runner, now + self.settings.down_for);
+        let condemned = self.suspects.crashed(fingerprint, alone, self.settings.alone_crashes);
+        condemned.then_some(DispatchAction::Condemn { fingerprint })
+    }
+
+    /// Grants what can be granted and preempts what must be.
+    fn pump(&mut self, now: Millis) -> Vec<DispatchAction> {
+        let mut actions = Vec::new();
+        self.pump_apart(now, &mut actions);
+        while self.pool.has_room() {
+            let Some(key) = self.next_place(now) else {
+                break;
+            };
+            self.dequeued(key);
+            let Some((runner, reason)) = self.choose(key) else {
+                break;
+            };
+            actions.extend(self.grant(now, key, runner, reason, None));
+        }
+        self.preempt(now, &mut actions);
+        actions
+    }
+
+    /// Runs suspects without companions, on runners kept free for them.
+    fn pump_apart(&mut self, now: Millis, actions: &mut Vec<DispatchAction>) {
+        let places = &self.places;
+        self.apart.retain(|key| Dispatcher::is_waiting(places, *key));
+        let most = (self.pool.len() / 4).max(1);
+        while let Some(key) = self.apart.front().copied() {
+            let Some(runner) = self.pool.empty_runner() else {
+                break;
+            };
+            self.apart.pop_front();
+            self.dequeued(key);
+            let until = now + self.settings.alone_for;
+            actions.extend(self.grant(now, key, runner, "suspect runs alone", Some(until)));
+        }
+        self.pool.reserve(self.apart.len().min(most));
+    }
+
+    /// The request that goes next: aged ones now and then, else the most urgent.
+    fn next_place(&mut self, now: Millis) -> Option<PlaceKey> {
+        let lesser_max = self.pool.places() * (100 - self.settings.reserve_percent) / 100;
+        let lesser_open = self.lesser < lesser_max.max(1);
+        if lesser_open && let Some(aged) = self.next_aged(now) {
+            return Some(aged);
+        }
+        for tier in Tier::all() {
+            if !tier.is_urgent() && !lesser_open {
+                return None;
+            }
+            if let Some(key) = self.next_of(now, tier) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
+    fn next_aged(&mut self, now: Millis) -> Option<PlaceKey> {
+        let held = self.refused_at.is_some_and(|at| now.since(at) < self.settings.refusal_hold);
+        if held || !self.grants.is_multiple_of(self.settings.aged_every) {
+            return None;
+        }
+        let places = &self.places;
+        let apart = &self.apart;
+        for tier in Tier::all().rev().filter(|tier| !tier.is_urgent()) {
+            let queue = &mut self.tiers[tier.index()];
+            let waits = |key| Dispatcher::is_waiting(places, key) && !apart.contains(&key);
+            let Some(key) = queue.fair.oldest(waits) else {
+                continue;
+            };
+            let request = &places[key].request;
+            let aged_at = Millis(request.rule.patience.0 * self.settings.age_percent / 100);
+            if now.since(request.arrival) >= aged_at {
+                return Some(key);
+            }
+        }
+        None
+    }
+
+    /// The next request of `tier`; those that can no longer meet their target go last.
+    fn next_of(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
+        let places = &self.places;
+        let queue = &mut self.tiers[tier.index()];
+        if queue.waiting == 0 {
+            return None;
+        }
+        let waits = |key| Dispatcher::is_waiting(places, key);
+        while let Some(key) = queue.fair.pop(waits) {
+            let place = &places[key];
+            let due = place.request.arrival + place.request.rule.target;
+            if !tier.is_urgent() || now + place.expected <= due {
+                return Some(key);
+            }
+            queue.late.push_back(key);
+        }
+        while let Some(key) = queue.late.pop_front() {
+            if waits(key) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
+    fn choose(&self, key: PlaceKey) -> Option<(RunnerKey, &'static str)> {
+        let request = &self.places.get(key)?.request;
+        let cached = self.prefixes.get(request.prefix).filter(|runner| !self.is_avoided(*runner, request));
+        let cached = cached.and_then(|runner| self.pool.within_mean(runner, self.settings.affinity_percent));
+        if let Some(runner) = cached {
+            return Some((runner, "prompt prefix cached"));
+        }
+        let runner = self.pool.least_loaded(&request.zone, request.avoid.as_ref())?;
+        Some((runner, "least loaded, own zone first"))
+    }
+
+    fn is_avoided(&self, runner: RunnerKey, request: &Descriptor) -> bool {
+        self.pool.info(runner).is_some_and(|info| Some(&info.name) == request.avoid.as_ref())
+    }
+
+    fn grant(
+        &mut self,
+        now: Millis,
+        key: PlaceKey,
+        runner: RunnerKey,
+        reason: &'static str,
+        alone_until: Option<Millis>,
+    ) -> Option<DispatchAction> {
+        let info = self.pool.info(runner)?.clone();
+        let request = &self.places.get(key)?.request;
+        let waited = now.since(request.arrival);
+        self.prefixes.set(request.prefix, runner);
+        self.grants += 1;
+        self.begin(now, key, Some(runner), alone_until);
+        Some(DispatchAction::Grant { place: key, runner: info, waited, reason })
+    }
+
+    fn begin(&mut self, now: Millis, key: PlaceKey, runner: Option<RunnerKey>, alone_until: Option<Millis>) {
+        let Some(place) = self.places.get_mut(key) else {
+            return;
+        };
+        place.state = State::Running { runner, since: now, preempting: false };
+        let tier = place.request.rule.tier;
+        self.running.insert((tier, now, key));
+        self.lesser += u32::from(!tier.is_urgent());
+        if let Some(runner) = runner {
+            self.pool.begin(runner, alone_until);
+        }
+    }
+
+    /// Takes runners back from the least urgent, newest first, for urgent requests that wait.
+    fn preempt(&mut self, now: Millis, actions: &mut Vec<DispatchAction>) {
+        let urgent = self.overdue_urgent(now);
+        let most = (self.pool.places() / PREEMPT_SHARE).max(1);
+        let mut wanted = urgent.saturating_sub(self.preempting).min(most);
+        let lesser = self.running.iter().rev().take_while(|(tier, ..)| !tier.is_urgent());
+        let newest_first: Vec<PlaceKey> = lesser.map(|(.., key)| *key).take(most as usize * 2).collect();
+        for key in newest_first {
+            if wanted == 0 {
+                return;
+            }
+            let Some(Place { state: State::Running { preempting, .. }, .. }) = self.places.get_mut(key) else {
+                continue;
+            };
+            if *preempting {
+                continue;
+            }
+            *preempting = true;
+            self.preempting += 1;
+            wanted -= 1;
+            actions.push(DispatchAction::Preempt { place: key });
+        }
+    }
+
+    /// How many urgent requests wait, if the oldest has waited for too much of its target.
+    fn overdue_urgent(&mut self, now: Millis) -> u32 {
+        if self.lesser == 0 || self.pool.has_room() {
+            return 0;
+        }
+        let places = &self.places;
+        let mut overdue = 0;
+        for tier in Tier::all().filter(|tier| tier.is_urgent()) {
+            let queue = &mut self.tiers[tier.index()];
+            let Some(key) = queue.fair.oldest(|key| Dispatcher::is_waiting(places, key)) else {
+                continue;
+            };
+            let request = &places[key].request;
+            let span = Millis(request.rule.target.0 * self.settings.preempt_percent / 100);
+            if now.since(request.arrival) >= span {
+                overdue += queue.waiting;
+            }
+        }
+        overdue
+    }
+}
--- /dev/null
+++ b/crates/policy/src/executor.rs
@@ -0,0 +1,513 @@
+//! Runs calls that must not repeat: one executor per slot, one claim per key.
+//!
+//! An executor commits each claim to the slot's record before the call runs. It takes over a slot
+//! whose executor died, and asks that executor's witnesses whether calls ran outside the record.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use teaselcroft_parts::{
+    ClaimAnswer, ConflictAnswer, GapWitness, Incarnation, JournalSettings, KeyDigest, Member, Membership, Millis,
+    SlotId, SlotJournal, SlotRecord, WitnessAnswer, rank, winner,
+};
+
+use crate::executor_messages::{ExecutorAction, ReadResult, WriteResult};
+
+/// Bounds of an executor.
+#[derive(Debug, Clone)]
+pub struct ExecutorSettings {
+    /// The number of slots in the cell.
+    pub slots: u32,
+    /// The most witnesses of one slot.
+    pub witness_max: usize,
+    /// The shortest time between two commits of one slot.
+    pub commit_every: Millis,
+    /// A commit without a reply for this long counts as an outage.
+    pub outage_after: Millis,
+    /// How often a consent is renewed.
+    pub renew_every: Millis,
+    /// How long to wait after a call without a reply.
+    pub retry_after: Millis,
+    /// How long to wait for witnesses of an executor that died.
+    pub ask_for: Millis,
+    /// How long a new daemon listens before it takes over any slot.
+    pub listen_for: Millis,
+    /// How long a daemon that hears no peer, though it did, waits before it takes over any slot.
+    pub isolated_for: Millis,
+    /// Bounds of each slot's journal.
+    pub journal: JournalSettings,
+}
+
+impl Default for ExecutorSettings {
+    fn default() -> ExecutorSettings {
+        ExecutorSettings {
+            slots: 8,
+            witness_max: 4,
+            commit_every: Millis(15),
+            outage_after: Millis(400),
+            renew_every: Millis(1_500),
+            retry_after: Millis(250),
+            ask_for: Millis(400),
+            listen_for: Millis(1_000),
+            isolated_for: Millis(30_000),
+            journal: JournalSettings::default(),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Phase {
+    Rest,
+    Reading,
+    Asking { current: (SlotRecord, u64), waiting: BTreeSet<Member>, until: Millis },
+    Acquiring,
+}
+
+#[derive(Debug, Clone)]
+struct Recording {
+    to: Member,
+    sent: Millis,
+    open: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Control {
+    journal: SlotJournal,
+    phase: Phase,
+    owner: Option<Member>,
+    epoch: u64,
+    retry_at: Millis,
+    committed_at: Millis,
+    write_out: bool,
+    releasing: bool,
+    recording: Option<Recording>,
+}
+
+/// One daemon's part in executing calls that must not repeat.
+#[derive(Debug, Clone)]
+pub struct Executor {
+    settings: ExecutorSettings,
+    me: Member,
+    slots: BTreeMap<SlotId, Control>,
+    witness: GapWitness,
+    stopping: bool,
+    heard_at: Millis,
+    heard_any: bool,
+}
+
+impl Executor {
+    /// An executor that owns nothing and listens for others from `now` on.
+    pub fn new(settings: ExecutorSettings, me: Member, now: Millis) -> Executor {
+        let control = Control {
+            journal: SlotJournal::new(settings.journal.clone(), me.clone()),
+            phase: Phase::Rest,
+            owner: None,
+            epoch: 0,
+            retry_at: now + settings.listen_for,
+            committed_at: Millis(0),
+            write_out: false,
+            releasing: false,
+            recording: None,
+        };
+        let slots = (0..settings.slots).map(|slot| (SlotId(slot), control.clone())).collect();
+        Executor {
+            settings,
+            me,
+            slots,
+            witness: GapWitness::default(),
+            stopping: false,
+            heard_at: now,
+            heard_any: false,
+        }
+    }
+
+    /// The slots that this daemon owns, with their epochs.
+    pub fn owned(&self) -> Vec<(SlotId, u64)> {
+        let owned = self.slots.iter().filter_map(|(slot, control)| Some((*slot, control.journal.epoch()?)));
+        owned.collect()
+    }
+
+    /// The last known executor of `slot`.
+    pub fn owner_of(&self, slot: SlotId) -> Option<&Member> {
+        let control = self.slots.get(&slot)?;
+        if control.journal.epoch().is_some() {
+            return Some(&self.me);
+        }
+        control.owner.as_ref()
+    }
+
+    /// Takes in a peer's word that it owns `slot`.
+    pub fn peer_owns(&mut self, peer: &Member, slot: SlotId, epoch: u64) {
+        if let Some(control) = self.slots.get_mut(&slot)
+            && epoch >= control.epoch
+        {
+            control.owner = Some(peer.clone());
+            control.epoch = epoch;
+        }
+    }
+
+    /// Begins to release every slot.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Listens for others again before it takes over any slot, as after a pause.
+    pub fn listen(&mut self, now: Millis) {
+        let until = now + self.settings.listen_for;
+        for control in self.slots.values_mut().filter(|control| control.journal.epoch().is_none()) {
+            control.retry_at = control.retry_at.max(until);
+        }
+    }
+
+    /// Asks to run the call with `key` of `slot`; a `Pending` claim is answered by an action.
+    pub fn claim(&mut self, now: Millis, slot: SlotId, key: KeyDigest) -> (ClaimAnswer, Vec<ExecutorAction>) {
+        let Some(control) = self.slots.get_mut(&slot) else {
+            return (ClaimAnswer::NotOwner, Vec::new());
+        };
+        if self.stopping {
+            return (ClaimAnswer::NotOwner, Vec::new());
+        }
+        let answer = control.journal.claim(now, key);
+        let actions = if answer == ClaimAnswer::Pending { self.commit(now, slot) } else { None };
+        (answer, actions.into_iter().collect())
+    }
+
+    /// Drops a waiting claim; false if it may have been committed.
+    pub fn cancel(&mut self, slot: SlotId, key: KeyDigest) -> bool {
+        self.slots.get_mut(&slot).is_none_or(|control| control.journal.cancel(key))
+    }
+
+    /// Another executor asks this daemon to witness a gap; true if it will.
+    pub fn record_gap(&mut self, slot: SlotId, epoch: u64, through: u64, owner: Incarnation) -> bool {
+        self.witness.forget_before(slot, epoch);
+        self.witness.record(slot, epoch..=through.min(epoch + 1), owner)
+    }
+
+    /// A successor asks this daemon whether it witnessed a gap.
+    pub fn ask_gap(&mut self, slot: SlotId, epoch: u64, owner: Incarnation) -> bool {
+        self.witness.ask(slot, epoch, owner) == WitnessAnswer::Gap
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Millis, members: &Membership) -> Vec<ExecutorAction> {
+        if !members.live_peers(now).is_empty() {
+            self.heard_at = now;
+            self.heard_any = true;
+        }
+        let slots: Vec<SlotId> = self.slots.keys().copied().collect();
+        let mut actions = Vec::new();
+        for slot in slots {
+            actions.extend(self.tick_slot(now, slot, members));
+        }
+        actions
+    }
+
+    fn tick_slot(&mut self, now: Millis, slot: SlotId, members: &Membership) -> Vec<ExecutorAction> {
+        let owns = self.slots.get(&slot).is_some_and(|control| control.journal.epoch().is_some());
+        if owns {
+            return self.tick_owned(now, slot, members);
+        }
+        self.tick_foreign(now, slot, members).into_iter().collect()
+    }
+
+    fn tick_owned(&mut self, now: Millis, slot: SlotId, members: &Membership) -> Vec<ExecutorAction> {
+        let candidates = self.candidates(now, slot, members);
+        if let Some(control) = self.slots.get_mut(&slot) {
+            control.journal.set_candidates(candidates);
+        }
+        let write = if self.stopping { self.release(now, slot) } else { self.commit(now, slot) };
+        let record = self.seek_consent(now, slot, members);
+        write.into_iter().chain(record).collect()
+    }
+
+    /// The live peers to name as witnesses of `slot`.
+    fn candidates(&self, now: Millis, slot: SlotId, members: &Membership) -> Vec<Member> {
+        let subject = format!("witness/{slot}");
+        let mut peers = members.live_peers(now);
+        peers.sort_by_key(|peer| std::cmp::Reverse(rank(&subject, peer.name.as_str())));
+        peers.truncate(self.settings.witness_max);
+        peers.sort();
+        peers
+    }
+
+    /// Sends the next commit, or repeats the one without a reply.
+    fn commit(&mut self, now: Millis, slot: SlotId) -> Option<ExecutorAction> {
+        let every = self.settings.commit_every;
+        let control = self.slots.get_mut(&slot)?;
+        if control.write_out || now < control.retry_at {
+            return None;
+        }
+        let repeated = control.journal.repeat_commit();
+        let early = now < control.committed_at + every;
+        let write = match repeated {
+            Some(write) => write,
+            None if early => return None,
+            None => control.journal.next_commit(now)?,
+        };
+        control.committed_at = now;
+        control.write_out = true;
+        Some(ExecutorAction::Write { slot, write })
+    }
+
+    fn release(&mut self, now: Millis, slot: SlotId) -> Option<ExecutorAction> {
+        let control = self.slots.get_mut(&slot)?;
+        let idle = !control.write_out && now >= control.retry_at;
+        if idle && let Some(write) = control.journal.release(now) {
+            control.releasing = true;
+            control.write_out = true;
+            return Some(ExecutorAction::Write { slot, write });
+        }
+        self.commit(now, slot)
+    }
+
+    /// Asks a witness for consent while a commit goes without a reply.
+    fn seek_consent(&mut self, now: Millis, slot: SlotId, members: &Membership) -> Option<ExecutorAction> {
+        let settings = &self.settings;
+        let control = self.slots.get_mut(&slot)?;
+        let sent = control.journal.flight_sent()?;
+        if control.releasing || now.since(sent) < settings.outage_after {
+            return None;
+        }
+        let last = control.recording.clone();
+        let wait =
+            if last.as_ref().is_some_and(|last| last.open) { settings.retry_after } else { settings.renew_every };
+        if last.as_ref().is_some_and(|last| now.since(last.sent) < wait) {
+            return None;
+        }
+        let witnesses = control.journal.witnesses();
+        let alive: Vec<&Member> = witnesses.iter().filter(|witness| members.is_alive(now, witness)).collect();
+        let failed = last.filter(|last| last.open).map(|last| last.to);
+        let other = alive.iter().find(|witness| Some(**witness) != failed.as_ref());
+        let to = (**other.or_else(|| alive.first())?).clone();
+        let epochs = control.journal.gap_epochs()?;
+        control.recording = Some(Recording { to: to.clone(), sent: now, open: true });
+        Some(ExecutorAction::Record { slot, epoch: *epochs.start(), through: *epochs.end(), to })
+    }
+
+    /// Takes in a witness's answer to `Record`; `None` if it could not be reached.
+    pub fn recorded(&mut self, now: Millis, slot: SlotId, from: &Member, agreed: Option<bool>) -> Vec<ExecutorAction> {
+        let Some(control) = self.slots.get_mut(&slot) else {
+            return Vec::new();
+        };
+        let Some(recording) = control.recording.as_mut().filter(|recording| recording.to == *from) else {
+            return Vec::new();
+        };
+        match agreed {
+            Some(true) => recording.open = false,
+            Some(false) => {
+                control.journal.denied();
+                return Vec::new();
+            }
+            None => return Vec::new(),
+        }
+        let sent = recording.sent;
+        let granted = control.journal.consented(now, sent);
+        runs(slot, granted)
+    }
+
+    /// Begins to take over a slot whose executor is gone, if this daemon ranks first for it.
+    fn tick_foreign(&mut self, now: Millis, slot: SlotId, members: &Membership) -> Option<ExecutorAction> {
+        let isolated = self.heard_any && self.heard_at != now && now.since(self.heard_at) < self.settings.isolated_for;
+        let preferred = !isolated && self.is_preferred(now, slot, members);
+        let control = self.slots.get_mut(&slot)?;
+        if let Phase::Asking { until, .. } = &control.phase
+            && now >= *until
+        {
+            return self.take_over(now, slot, false, members);
+        }
+        let resting = matches!(control.phase, Phase::Rest);
+        let alive = control.owner.as_ref().is_some_and(|owner| members.is_alive(now, owner));
+        if self.stopping || !resting || alive || !preferred || now < control.retry_at {
+            return None;
+        }
+        control.phase = Phase::Reading;
+        Some(ExecutorAction::Read { slot })
+    }
+
+    fn is_preferred(&self, now: Millis, slot: SlotId, members: &Membership) -> bool {
+        let live = members.live(now);
+        let names = live.iter().map(|member| member.name.as_str());
+        winner(&format!("slot/{slot}"), names) == Some(self.me.name.as_str())
+    }
+
+    /// Takes in the answer to `Read`.
+    pub fn read_done(
+        &mut self,
+        now: Millis,
+        slot: SlotId,
+        result: ReadResult,
+        members: &Membership,
+    ) -> Vec<ExecutorAction> {
+        let retry_after = self.settings.retry_after;
+        let me = self.me.clone();
+        let Some(control) = self.slots.get_mut(&slot) else {
+            return Vec::new();
+        };
+        if !matches!(control.phase, Phase::Reading) {
+            return Vec::new();
+        }
+        let ReadResult::Found(found) = result else {
+            control.phase = Phase::Rest;
+            control.retry_at = now + retry_after;
+            return Vec::new();
+        };
+        let current = found.unwrap_or_default();
+        let owner = current.0.owner.clone();
+        control.epoch = control.epoch.max(current.0.epoch);
+        if let Some(owner) = owner.as_ref().filter(|owner| **owner != me && members.is_alive(now, owner)) {
+            control.owner = Some(owner.clone());
+            control.phase = Phase::Rest;
+            control.retry_at = now + retry_after;
+            return Vec::new();
+        }
+        let until = now + self.settings.ask_for;
+        let foreign = owner.filter(|owner| *owner != me);
+        let record = current.0.clone();
+        control.phase = Phase::Asking { current, waiting: BTreeSet::new(), until };
+        match foreign {
+            Some(owner) => self.ask_witnesses(now, slot, &record, &owner, members),
+            None => self.take_over(now, slot, true, members).into_iter().collect(),
+        }
+    }
+
+    /// Asks every witness in the record; one that cannot answer counts as a gap.
+    fn ask_witnesses(
+        &mut self,
+        now: Millis,
+        slot: SlotId,
+        record: &SlotRecord,
+        owner: &Member,
+        members: &Membership,
+    ) -> Vec<ExecutorAction> {
+        let others: BTreeSet<Member> = record.witnesses.iter().filter(|peer| **peer != self.me).cloned().collect();
+        let own_gap = others.len() < record.witnesses.len() && self.ask_gap(slot, record.epoch, owner.incarnation);
+        let lost = others.iter().any(|peer| !members.is_alive(now, peer));
+        if own_gap || lost || others.is_empty() {
+            let gapless = !own_gap && !lost;
+            return self.take_over(now, slot, gapless, members).into_iter().collect();
+        }
+        if let Some(Control { phase: Phase::Asking { waiting, .. }, .. }) = self.slots.get_mut(&slot) {
+            waiting.clone_from(&others);
+        }
+        let asks = others.into_iter().map(|to| ExecutorAction::Ask {
+            slot,
+            epoch: record.epoch,
+            owner: owner.incarnation,
+            to,
+        });
+        asks.collect()
+    }
+
+    /// Takes in a witness's answer to `Ask`; `None` if it could not be reached.
+    pub fn answered(
+        &mut self,
+        now: Millis,
+        slot: SlotId,
+        from: &Member,
+        gap: Option<bool>,
+        members: &Membership,
+    ) -> Vec<ExecutorAction> {
+        let Some(Control { phase: Phase::Asking { waiting, .. }, .. }) = self.slots.get_mut(&slot) else {
+            return Vec::new();
+        };
+        if !waiting.remove(from) {
+            return Vec::new();
+        }
+        let gapless = gap == Some(false);
+        if gapless && !waiting.is_empty() {
+            return Vec::new();
+        }
+        self.take_over(now, slot, gapless, members).into_iter().collect()
+    }
+
+    fn take_over(&mut self, now: Millis, slot: SlotId, gapless: bool, members: &Membership) -> Option<ExecutorAction> {
+        let candidates = self.candidates(now, slot, members);
+        let control = self.slots.get_mut(&slot)?;
+        let Phase::Asking { current, .. } = std::mem::replace(&mut control.phase, Phase::Acquiring) else {
+            return None;
+        };
+        let current = (current.1 > 0).then_some(current);
+        let write = control.journal.take_over(current, gapless, candidates);
+        control.write_out = true;
+        Some(ExecutorAction::Write { slot, write })
+    }
+
+    /// Takes in the answer to `Write`.
+    pub fn write_done(&mut self, now: Millis, slot: SlotId, result: WriteResult) -> Vec<ExecutorAction> {
+        let retry_after = self.settings.retry_after;
+        let Some(control) = self.slots.get_mut(&slot) else {
+            return Vec::new();
+        };
+        control.write_out = false;
+        if result == WriteResult::Unknown {
+            control.retry_at = now + retry_after;
+        }
+        if matches!(control.phase, Phase::Acquiring) {
+            return control.acquire_done(now, slot, result, &self.me);
+        }
+        if control.releasing {
+            return control.release_done(slot, result);
+        }
+        control.commit_done(now, slot, result)
+    }
+}
+
+impl Control {
+    fn acquire_done(&mut self, now: Millis, slot: SlotId, result: WriteResult, me: &Member) -> Vec<ExecutorAction> {
+        self.phase = Phase::Rest;
+        match result {
+            WriteResult::Done(version) => self.journal.acquired(now, version),
+            WriteResult::Unknown => {
+                self.journal.acquire_unknown();
+                return Vec::new();
+            }
+            WriteResult::Conflict(actual) => {
+                if !self.journal.acquire_conflict(now, actual.as_ref()) {
+                    self.note_owner(actual);
+                    return Vec::new();
+                }
+            }
+        }
+        let epoch = self.journal.epoch().unwrap_or_default();
+        self.owner = Some(me.clone());
+        self.epoch = epoch;
+        self.recording = None;
+        vec![ExecutorAction::Owns { slot, epoch, gap: self.journal.has_gap(now) }]
+    }
+
+    fn release_done(&mut self, slot: SlotId, result: WriteResult) -> Vec<ExecutorAction> {
+        if result == WriteResult::Unknown {
+            return Vec::new();
+        }
+        self.releasing = false;
+        self.owner = None;
+        self.journal.released();
+        vec![ExecutorAction::Released { slot }]
+    }
+
+    fn commit_done(&mut self, now: Millis, slot: SlotId, result: WriteResult) -> Vec<ExecutorAction> {
+        match result {
+            WriteResult::Done(version) => runs(slot, self.journal.commit_done(now, version)),
+            WriteResult::Unknown => Vec::new(),
+            WriteResult::Conflict(actual) => match self.journal.commit_conflict(now, actual.clone()) {
+                ConflictAnswer::Committed(keys) => runs(slot, keys),
+                ConflictAnswer::Moved(keys) => {
+                    self.note_owner(actual);
+                    keys.into_iter().map(|key| ExecutorAction::Moved { slot, key }).collect()
+                }
+            },
+        }
+    }
+
+    fn note_owner(&mut self, actual: Option<(SlotRecord, u64)>) {
+        let Some((record, _)) = actual else {
+            self.owner = None;
+            return;
+        };
+        self.owner = record.owner;
+        self.epoch = record.epoch;
+    }
+}
+
+fn runs(slot: SlotId, keys: Vec<KeyDigest>) -> Vec<ExecutorAction> {
+    keys.into_iter().map(|key| ExecutorAction::Run { slot, key }).collect()
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,43 @@
+//! The decisions of teaselcroft as pure state machines: events and a time in, actions out.
+
+mod address_book;
+mod class_rule;
+mod class_table;
+mod descriptor;
+mod dispatch_settings;
+mod dispatcher;
+mod executor;
+mod executor_messages;
+mod fair_queue;
+mod hold_times;
+mod outcome;
+mod prefix_map;
+mod questionnaire;
+mod result_code;
+mod runner;
+mod runner_pool;
+mod silence_bound;
+mod suspects;
+mod team_config;
+mod tier;
+
+pub use address_book::{AddressAnswer, AddressBook, EntryPoint};
+pub use class_rule::{ClassRule, UpstreamKind};
+pub use class_table::{ClassTable, ClassTableError};
+pub use descriptor::Descriptor;
+pub use dispatch_settings::DispatchSettings;
+pub use dispatcher::{DispatchAction, DispatchStats, Dispatcher, PlaceKey};
+pub use executor::{Executor, ExecutorSettings};
+pub use executor_messages::{ExecutorAction, ReadResult, WriteResult};
+pub use fair_queue::FairQueue;
+pub use hold_times::HoldTimes;
+pub use outcome::{EndKind, Outcome};
+pub use prefix_map::PrefixMap;
+pub use questionnaire::{ClassAnswers, Questionnaire, QuestionnaireError, Repeat, Urgency};
+pub use result_code::{Ran, ResultCode};
+pub use runner::{LoadReport, RunnerInfo};
+pub use runner_pool::{RunnerKey, RunnerPool};
+pub use silence_bound::SilenceBound;
+pub use suspects::Suspects;
+pub use team_config::TeamConfig;
+pub use tier::Tier;
--- /dev/null
+++ b/crates/router/src/chat.rs
@@ -0,0 +1,301 @@
+//! Carries one chat completion from its place in the queue to the end of its answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use futures_lite::FutureExt;
+use serde_json::Value;
+use teaselcroft_parts::{CustomerName, Fingerprint, Millis, RequestId, RunnerName};
+use teaselcroft_policy::{ClassRule, EndKind, Outcome, ResultCode, SilenceBound};
+
+use crate::Event;
+use crate::chat_request::ChatRequest;
+use crate::engine::{Engine, GenerateWire, TokenStream};
+use crate::http_client::{HttpError, within};
+use crate::node::Node;
+use crate::place::Place;
+use crate::place_event::PlaceEvent;
+use crate::place_request::PlaceRequest;
+use crate::platform::Platform;
+
+const CALLER_CHECK: Duration = Duration::from_millis(250);
+
+/// A part of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// The next token's text.
+    Token(String),
+    /// The end, with the time to wait before another try.
+    End(ResultCode, Millis),
+}
+
+/// A chat completion under way.
+pub struct Chat<P> {
+    node: Arc<Node<P>>,
+    request: RequestId,
+    customer: CustomerName,
+    content: ChatRequest,
+    rule: ClassRule,
+    fingerprint: Fingerprint,
+    prefix: Fingerprint,
+    arrival: Millis,
+    out: Sender<Piece>,
+    received: u32,
+    ran: bool,
+    avoid: Option<RunnerName>,
+    messages: Value,
+}
+
+/// Why a stream left its runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Left {
+    Done,
+    CallerGone,
+    Preempted,
+    Failed(HttpError),
+}
+
+/// What a request heard while it waited.
+enum Word {
+    Event(Option<PlaceEvent>),
+    CallerGone,
+    Late,
+}
+
+impl<P: Platform> Chat<P> {
+    /// A chat completion that has just arrived; its pieces go to `out`.
+    pub fn new(
+        node: Arc<Node<P>>,
+        request: RequestId,
+        customer: CustomerName,
+        content: ChatRequest,
+        rule: ClassRule,
+        out: Sender<Piece>,
+    ) -> Chat<P> {
+        Chat {
+            arrival: node.clock.now(),
+            fingerprint: content.fingerprint(&customer),
+            prefix: content.prefix(),
+            messages: Value::from(content.messages.clone()),
+            node,
+            request,
+            customer,
+            content,
+            rule,
+            out,
+            received: 0,
+            ran: false,
+            avoid: None,
+        }
+    }
+
+    /// Runs to the end, sends it as the last piece and returns it.
+    pub async fn run(mut self) -> ResultCode {
+        let (code, retry) = self.answer().await;
+        let grounds = format!("{code}, {} tokens in {}", self.received, self.node.clock.now().since(self.arrival));
+        self.node.decide(&self.request, Event::Ended, grounds);
+        // A caller that is gone has no use for the end.
+        let _ = self.out.send(Piece::End(code, retry)).await;
+        code
+    }
+
+    async fn answer(&mut self) -> (ResultCode, Millis) {
+        loop {
+            let (place, runner, address) = match self.wait_for_runner().await {
+                Ok(granted) => granted,
+                Err(refusal) => return refusal,
+            };
+            let (place, left, outcome) = self.stream(place, &runner, &address).await;
+            if let Some(place) = place {
+                place.end(outcome);
+            }
+            match left {
+                Left::Done => return (ResultCode::Done, Millis(0)),
+                Left::CallerGone => return (self.unless_ran(ResultCode::PatienceOver), Millis(0)),
+                Left::Preempted => self.avoid = None,
+                Left::Failed(error) => self.note_failure(runner, address, error),
+            }
+        }
+    }
+
+    fn note_failure(&mut self, runner: RunnerName, address: String, error: HttpError) {
+        if error == HttpError::Silent {
+            self.cancel_at(address);
+        }
+        let grounds = format!("runner {runner}: {error}; goes on at token {}", self.received);
+        self.node.decide(&self.request, Event::Resumed, grounds);
+        self.node.metrics.resumed.inc();
+        self.avoid = Some(runner);
+    }
+
+    /// Frees the place that a silent connection still takes at its runner.
+    fn cancel_at(&self, address: String) {
+        let node = self.node.clone();
+        let request = self.request.clone();
+        let cancel = async move {
+            if let Err(error) = node.platform.engines().cancel(&address, &request).await {
+                log::debug!(request:% = request; "a silent stream could not be cancelled: {error}");
+            }
+        };
+        self.node.traffic.spawn(cancel).detach();
+    }
+
+    /// A request that reached a runner cannot be said not to have run.
+    fn unless_ran(&self, code: ResultCode) -> ResultCode {
+        if self.ran { ResultCode::StreamBroken } else { code }
+    }
+
+    fn deadline(&self) -> Millis {
+        let spans = if self.ran { 2 } else { 1 };
+        self.arrival + Millis(self.rule.patience.0 * spans)
+    }
+
+    async fn wait_for_runner(&self) -> Result<(Place, RunnerName, String), (ResultCode, Millis)> {
+        let mut place = Place::open(&self.node, self.place_request(None));
+        loop {
+            match self.next_word(&place).await {
+                Word::Event(Some(PlaceEvent::Granted { runner, address, .. })) => return Ok((place, runner, address)),
+                Word::Event(Some(PlaceEvent::Refused { code, retry })) => return Err((self.unless_ran(code), retry)),
+                Word::Event(Some(PlaceEvent::Preempted)) => {}
+                Word::Event(None) => place = Place::reopen(&self.node, self.place_request(None)),
+                Word::CallerGone | Word::Late => return Err((self.unless_ran(ResultCode::PatienceOver), Millis(0))),
+            }
+        }
+    }
+
+    async fn next_word(&self, place: &Place) -> Word {
+        let event = async { Word::Event(place.event().await) };
+        let left = self.deadline().since(self.node.clock.now());
+        let heard = event.or(self.caller_gone());
+        within(left.into(), Word::Late, heard).await
+    }
+
+    async fn caller_gone(&self) -> Word {
+        loop {
+            if self.out.is_closed() {
+                return Word::CallerGone;
+            }
+            smol::Timer::after(CALLER_CHECK).await;
+        }
+    }
+
+    fn place_request(&self, holding: Option<RunnerName>) -> PlaceRequest {
+        PlaceRequest {
+            request: self.request.clone(),
+            customer: self.customer.clone(),
+            class: self.content.class.clone(),
+            upstream: self.rule.upstream.clone(),
+            fingerprint: self.fingerprint,
+            prefix: self.prefix,
+            prompt_tokens: self.content.prompt_tokens(),
+            waited: self.node.clock.now().since(self.arrival),
+            holding,
+            avoid: self.avoid.clone(),
+            admitted: self.ran,
+            zone: self.node.settings.zone.clone(),
+        }
+    }
+
+    /// Streams from one runner; returns the place last held, why it left and how it ended.
+    async fn stream(&mut self, place: Place, runner: &RunnerName, address: &str) -> (Option<Place>, Left, Outcome) {
+        let began = self.node.clock.now();
+        let before = self.received;
+        let mut place = Some(place);
+        let left = self.stream_tokens(&mut place, runner, address).await;
+        self.ran = self.ran || left != Left::Failed(HttpError::Refused);
+        let kind = match left {
+            Left::Done => EndKind::Done,
+            Left::CallerGone | Left::Preempted => EndKind::Cancelled,
+            Left::Failed(HttpError::Refused) => EndKind::Refused,
+            Left::Failed(HttpError::Broken) => EndKind::Broken,
+            Left::Failed(HttpError::Silent) => EndKind::Silent,
+        };
+        let elapsed = self.node.clock.now().since(began);
+        (place, left, Outcome { kind, tokens: self.received - before, elapsed })
+    }
+
+    async fn stream_tokens(&mut self, place: &mut Option<Place>, runner: &RunnerName, address: &str) -> Left {
+        let wire = GenerateWire {
+            request: self.request.clone(),
+            priority: self.rule.tier,
+            resume_from: self.received,
+            messages: self.messages.clone(),
+        };
+        let first_bound = self.with_silence(|bound| bound.first_bound());
+        let generated = self.node.platform.engines().generate(address, &wire, first_bound).await;
+        let mut tokens = match generated {
+            Ok(tokens) => tokens,
+            Err(error) => return Left::Failed(error),
+        };
+        let mut limit = first_bound;
+        let mut last = self.node.clock.now();
+        let mut fresh = true;
+        loop {
+            let next = match self.token_or_event(&mut tokens, place, runner, limit).await {
+                Ok(next) => next,
+                Err(left) => return left,
+            };
+            let Some(token) = next else {
+                return Left::Done;
+            };
+            let now = self.node.clock.now();
+            let span = now.since(last);
+            last = now;
+            self.learn(span, fresh);
+            fresh = false;
+            limit = self.with_silence(|bound| bound.gap_bound());
+            if token.i != self.received {
+                return Left::Failed(HttpError::Broken);
+            }
+            self.received += 1;
+            if self.out.send(Piece::Token(token.t)).await.is_err() {
+                return Left::CallerGone;
+            }
+        }
+    }
+
+    fn learn(&self, span: Millis, first: bool) {
+        self.with_silence(|bound| match first {
+            true => bound.first(span),
+            false => bound.gap(span),
+        });
+    }
+
+    fn with_silence<R>(&self, work: impl FnOnce(&mut SilenceBound) -> R) -> R {
+        self.node.with_silence(&self.content.class, self.rule.prompt_tokens, work)
+    }
+
+    /// The next token, unless the dispatcher preempts first; a lost dispatcher is replaced.
+    async fn token_or_event<S: TokenStream>(
+        &self,
+        tokens: &mut S,
+        place: &mut Option<Place>,
+        runner: &RunnerName,
+        limit: Millis,
+    ) -> Result<Option<crate::engine::TokenWire>, Left> {
+        enum Next {
+            Token(Result<Option<crate::engine::TokenWire>, HttpError>),
+            Event(Option<PlaceEvent>),
+        }
+        let started = self.node.clock.now();
+        loop {
+            let left = limit.since(self.node.clock.now().since(started));
+            let token = async { Next::Token(tokens.next(left).await) };
+            let next = match place.as_ref() {
+                Some(held) => token.or(async { Next::Event(held.event().await) }).await,
+                None => token.await,
+            };
+            match next {
+                Next::Token(Ok(token)) => return Ok(token),
+                Next::Token(Err(error)) => return Err(Left::Failed(error)),
+                Next::Event(Some(PlaceEvent::Preempted)) => return Err(Left::Preempted),
+                Next::Event(Some(_)) => {}
+                Next::Event(None) => {
+                    let request = self.place_request(Some(runner.clone()));
+                    *place = Some(Place::reopen(&self.node, request));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/configs.rs
@@ -0,0 +1,155 @@
+//! Configurations: taking in accepted ones and putting them in force at runners.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselcroft_parts::{ConfigValue, RunnerName, TeamName};
+use teaselcroft_policy::TeamConfig;
+
+use super::{Control, pause};
+use crate::command::Command;
+use crate::engine::{Engine, OrderWire};
+use crate::node::Node;
+use crate::platform::Platform;
+use crate::{Event, emit};
+
+const IDLE: Duration = Duration::from_millis(500);
+const RETRY: Duration = Duration::from_millis(1_000);
+
+/// The prefix of accepted configurations in the key-value service.
+pub const CONFIG_PREFIX: &str = "config/";
+
+/// What each runner is known to have in force, and orders under way.
+#[derive(Debug, Default)]
+pub struct Pushes {
+    acknowledged: BTreeMap<RunnerName, BTreeMap<TeamName, u64>>,
+    open: BTreeSet<(RunnerName, TeamName)>,
+}
+
+impl Pushes {
+    /// Takes in what a runner says it has in force.
+    pub fn reported(&mut self, runner: &RunnerName, revisions: BTreeMap<TeamName, u64>) {
+        self.acknowledged.insert(runner.clone(), revisions);
+    }
+
+    /// What `runner` has in force.
+    pub fn acknowledged(&self, runner: &RunnerName) -> BTreeMap<TeamName, u64> {
+        self.acknowledged.get(runner).cloned().unwrap_or_default()
+    }
+
+    fn needs(&self, runner: &RunnerName, team: &TeamName, revision: u64) -> bool {
+        let Some(revisions) = self.acknowledged.get(runner) else {
+            return false;
+        };
+        let held = revisions.get(team).copied().unwrap_or(0);
+        held < revision && !self.open.contains(&(runner.clone(), team.clone()))
+    }
+}
+
+impl<P: Platform> Control<P> {
+    /// Takes in accepted configurations in whatever order they come.
+    pub(super) fn take_configs(&mut self, configs: Vec<(TeamName, ConfigValue)>) {
+        self.pulling = false;
+        for (team, config) in configs {
+            let version = config.version;
+            let parsed: Result<TeamConfig, _> = serde_json::from_slice(&config.value);
+            if !self.register.offer(team.clone(), config) {
+                continue;
+            }
+            let Ok(parsed) = parsed else {
+                log::warn!(team:% = team, version = version; "configuration cannot be read");
+                continue;
+            };
+            match self.classes.apply(&parsed) {
+                Ok(true) => {
+                    emit!(Event::ConfigInForce, daemon = self.node.me.name, team = team, revision = parsed.revision);
+                }
+                Ok(false) => {}
+                Err(error) => log::warn!(team:% = team; "{error}"),
+            }
+        }
+        let now = self.now();
+        self.choose_dispatchers(now);
+        self.publish(now);
+    }
+
+    /// Asks a peer for what it has and this daemon lacks.
+    pub(super) fn pull_configs(&mut self, from: &teaselcroft_parts::DaemonName) {
+        if self.pulling {
+            return;
+        }
+        self.pulling = true;
+        let node = self.node.clone();
+        let from = from.clone();
+        let after = self.register.clock();
+        let pull = async move {
+            let configs = super::io::pull_configs(&node, &from, after).await;
+            node.tell(Command::Configs(configs));
+        };
+        self.tasks.spawn(pull).detach();
+    }
+
+    /// Orders the runners of this daemon's shards that lack a configuration to put it in force.
+    pub(super) fn push_configs(&mut self) {
+        let shards = self.shards.iter().filter(|(_, shard)| shard.chosen);
+        let mut orders = Vec::new();
+        for (upstream, _) in shards {
+            let teams = self.classes.teams_of(upstream);
+            for vm in self.vms.runners.iter().filter(|vm| vm.upstream == *upstream) {
+                let due = teams.iter().filter(|team| self.pushes.needs(&vm.name, team, self.classes.revision(team)));
+                orders.extend(due.map(|team| (vm.clone(), team.clone())));
+            }
+        }
+        for (vm, team) in orders {
+            let revision = self.classes.revision(&team);
+            self.pushes.open.insert((vm.name.clone(), team.clone()));
+            let order = OrderWire { team, revision, fence: revision };
+            let push = push_config(self.node.clone(), vm.name, vm.address, order);
+            self.tasks.spawn(push).detach();
+        }
+    }
+
+    pub(super) fn ordered(&mut self, runner: RunnerName, team: TeamName, revision: Option<u64>) {
+        self.pushes.open.remove(&(runner.clone(), team.clone()));
+        let Some(revision) = revision else {
+            return;
+        };
+        emit!(Event::ConfigPushed, daemon = self.node.me.name, runner = runner, team = team, revision = revision);
+        self.pushes.acknowledged.entry(runner).or_default().insert(team, revision);
+    }
+}
+
+async fn push_config<P: Platform>(node: Arc<Node<P>>, runner: RunnerName, address: String, order: OrderWire) {
+    let engines = node.platform.engines();
+    let held = engines.report(&address).await.ok().map(|report| report.revisions);
+    let newer = held.is_some_and(|held| held.get(&order.team).copied().unwrap_or(0) < order.revision);
+    let obeyed = newer && engines.order(&address, &order).await == Ok(true);
+    let revision = obeyed.then_some(order.revision);
+    if revision.is_none() {
+        pause(IDLE).await;
+    }
+    node.tell(Command::Ordered { runner, team: order.team, revision });
+}
+
+/// Watches the key-value service for configurations whenever this daemon is one of the readers.
+pub async fn watch_configs<P: Platform>(node: Arc<Node<P>>) {
+    let mut clock = 0;
+    loop {
+        if !node.reads_configs.load(std::sync::atomic::Ordering::Acquire) {
+            pause(IDLE).await;
+            continue;
+        }
+        match node.store_watch(CONFIG_PREFIX, clock).await {
+            Ok(found) => {
+                clock = found.iter().map(|(_, stored)| stored.version).fold(clock, u64::max);
+                let configs = found.into_iter().filter_map(|(key, stored)| {
+                    let team = key.strip_prefix(CONFIG_PREFIX)?.parse().ok()?;
+                    Some((team, ConfigValue { version: stored.version, value: stored.value }))
+                });
+                node.tell(Command::Configs(configs.collect()));
+            }
+            Err(_) => pause(RETRY.mul_f64(0.5 + fastrand::f64())).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/io.rs
@@ -0,0 +1,46 @@
+//! Calls to peers on behalf of the control thread.
+
+use std::time::Duration;
+
+use teaselcroft_parts::{ConfigValue, DaemonName, Incarnation, Member, SlotId, TeamName};
+
+use crate::generated::{PullConfigRequest, WitnessRequest};
+use crate::http_client::within;
+use crate::node::Node;
+use crate::platform::Platform;
+
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(200);
+const PULL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Asks a witness; `None` if that very incarnation does not answer.
+pub async fn ask_witness<P: Platform>(
+    node: &Node<P>,
+    slot: SlotId,
+    epoch: u64,
+    through: u64,
+    owner: Incarnation,
+    to: &Member,
+    record: bool,
+) -> Option<bool> {
+    let request = WitnessRequest { slot: slot.0, epoch, through, owner: owner.0, record };
+    let ask = async {
+        let mut client = node.client(&to.name).await.ok()?;
+        let reply = client.witness(request).await.ok()?.into_inner();
+        (reply.incarnation == to.incarnation.0).then_some(reply.agreed)
+    };
+    within(WITNESS_TIMEOUT, None, ask).await
+}
+
+/// Reads the configurations newer than `after` from a peer.
+pub async fn pull_configs<P: Platform>(node: &Node<P>, from: &DaemonName, after: u64) -> Vec<(TeamName, ConfigValue)> {
+    let pull = async {
+        let mut client = node.client(from).await.ok()?;
+        let reply = client.pull_config(PullConfigRequest { after }).await.ok()?.into_inner();
+        let entries = reply.entries.into_iter().filter_map(|entry| {
+            let config = ConfigValue { version: entry.version, value: entry.value };
+            Some((entry.team.parse().ok()?, config))
+        });
+        Some(entries.collect())
+    };
+    within(PULL_TIMEOUT, None, pull).await.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/router/src/control/peers.rs
@@ -0,0 +1,175 @@
+//! Heartbeats, the VM list and load reports.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use teaselcroft_parts::{DaemonName, Millis, ModelName, PeerHealth, RunnerName};
+
+use super::{Control, pause};
+use crate::command::Command;
+use crate::engine::Engine;
+use crate::http_client::within;
+use crate::node::Node;
+use crate::peer_channel::PeerError;
+use crate::platform::Platform;
+use crate::pulse::Pulse;
+use crate::vm_list::{VmList, Vms};
+use crate::{Event, emit};
+
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Bytes that one exchange of heartbeats puts on the wire, both ways.
+const EXCHANGE_BYTES: u64 = 400;
+
+/// Bytes a second that heartbeats of one daemon may take.
+const HEARTBEAT_BUDGET: u64 = 6_000;
+
+/// Background tasks of the control thread and what they last saw.
+#[derive(Debug, Default)]
+pub struct Heartbeats {
+    peers: BTreeSet<DaemonName>,
+    runners: BTreeSet<RunnerName>,
+    health: BTreeMap<DaemonName, bool>,
+}
+
+/// The time between heartbeats to each of `peers` peers, at least `shortest`.
+pub fn heartbeat_every(shortest: Millis, peers: usize) -> Millis {
+    let bytes = EXCHANGE_BYTES * peers as u64;
+    shortest.max(Millis(bytes * 1_000 / HEARTBEAT_BUDGET))
+}
+
+impl<P: Platform> Control<P> {
+    pub(super) fn heard(&mut self, pulse: Pulse) {
+        let now = self.now();
+        self.members.heard(now, &pulse.member, pulse.leaving);
+        for (slot, epoch) in &pulse.slots {
+            self.slots.peer_owns(&pulse.member, *slot, *epoch);
+        }
+        for fingerprint in pulse.condemned {
+            for shard in self.shards.values_mut() {
+                shard.dispatcher.condemn(fingerprint);
+            }
+        }
+        if pulse.config_clock > self.register.clock() {
+            self.pull_configs(&pulse.member.name);
+        }
+    }
+
+    /// Takes in the VM list and starts to talk to what is new on it.
+    pub(super) fn listed(&mut self, vms: Vms) {
+        if vms == self.vms {
+            return;
+        }
+        self.vms = vms;
+        let now = self.now();
+        self.set_runners(now);
+        self.publish(now);
+        let names: Vec<DaemonName> = self.vms.entries.iter().map(|vm| vm.name.clone()).collect();
+        for name in names {
+            if name != self.node.me.name && self.heartbeats.peers.insert(name.clone()) {
+                self.tasks.spawn(exchange_forever(self.node.clone(), name)).detach();
+            }
+        }
+        for vm in self.vms.runners.clone() {
+            if self.heartbeats.runners.insert(vm.name.clone()) {
+                self.tasks.spawn(poll_reports(self.node.clone(), vm.upstream, vm.name)).detach();
+            }
+        }
+    }
+
+    /// Sends a heartbeat to every live peer at once.
+    pub(super) fn heartbeat_all(&mut self) {
+        self.node.set_pulse(self.pulse().into());
+        let now = self.now();
+        for peer in self.members.live_peers(now) {
+            let node = self.node.clone();
+            let send = async move {
+                exchange(&node, &peer.name).await;
+            };
+            self.tasks.spawn(send).detach();
+        }
+    }
+
+    /// Logs peers that came or went.
+    pub(super) fn note_peers(&mut self, now: Millis) {
+        for name in &self.heartbeats.peers {
+            let health = self.members.health(now, name);
+            let live = matches!(health, PeerHealth::Live(_) | PeerHealth::Leaving(_));
+            let before = self.heartbeats.health.insert(name.clone(), live);
+            if before == Some(live) || (before.is_none() && !live) {
+                continue;
+            }
+            let event = if live { Event::PeerLive } else { Event::PeerDead };
+            emit!(event, daemon = self.node.me.name, peer = name);
+            if !live {
+                self.node.peers.forget(name);
+            }
+        }
+    }
+}
+
+/// Exchanges heartbeats with `peer` once.
+async fn exchange<P: Platform>(node: &Node<P>, peer: &DaemonName) {
+    let send = async {
+        let mut client = node.client(peer).await?;
+        let reply = client.exchange(node.pulse()).await.map_err(|_| PeerError::Silent)?;
+        Ok(reply.into_inner())
+    };
+    let reply: Result<_, PeerError> = within(EXCHANGE_TIMEOUT, Err(PeerError::Silent), send).await;
+    node.metrics.control_bytes.inc_by(EXCHANGE_BYTES / 2);
+    match reply {
+        Ok(wire) => {
+            if let Ok(pulse) = Pulse::try_from(wire) {
+                node.tell(Command::Heard(pulse));
+            }
+        }
+        Err(_) => node.peers.forget(peer),
+    }
+}
+
+async fn exchange_forever<P: Platform>(node: Arc<Node<P>>, peer: DaemonName) {
+    let shortest = Millis(node.settings.limits.heartbeat_ms);
+    loop {
+        exchange(&node, &peer).await;
+        let peers = node.view().entries.len();
+        let every = Duration::from(heartbeat_every(shortest, peers));
+        pause(every.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
+    }
+}
+
+/// Polls a runner's load report while this daemon dispatches its model or service.
+async fn poll_reports<P: Platform>(node: Arc<Node<P>>, upstream: ModelName, runner: RunnerName) {
+    let every = Duration::from_millis(node.settings.limits.report_ms);
+    loop {
+        pause(every.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
+        let dispatches = node.view().dispatchers.get(&upstream) == Some(&node.me.name);
+        let address = if dispatches { node.runner_address(&runner) } else { None };
+        let Some(address) = address else {
+            continue;
+        };
+        if let Ok(report) = node.platform.engines().report(&address).await {
+            node.tell(Command::Reported { upstream: upstream.clone(), runner: runner.clone(), report });
+        }
+    }
+}
+
+/// Reads the VM list again and again.
+pub async fn read_vm_list<P: Platform>(node: Arc<Node<P>>) {
+    let every = Duration::from_millis(node.settings.limits.vm_list_ms);
+    let mut reachable = true;
+    loop {
+        match node.platform.vms().read().await {
+            Ok(vms) => {
+                reachable = true;
+                node.tell(Command::Listed(vms));
+            }
+            Err(_) if reachable => {
+                reachable = false;
+                emit!(Event::VmListUnreachable, daemon = node.me.name);
+            }
+            Err(_) => {}
+        }
+        pause(every.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/shards.rs
@@ -0,0 +1,241 @@
+//! The dispatchers that this daemon runs.
+
+use std::collections::BTreeMap;
+
+use async_channel::{Receiver, Sender};
+use slotmap::SecondaryMap;
+use teaselcroft_parts::{Fingerprint, Millis, ModelName, RequestId, RunnerName, winner};
+use teaselcroft_policy::{
+    Descriptor, DispatchAction, DispatchSettings, Dispatcher, EndKind, LoadReport, Outcome, PlaceKey, ResultCode,
+    RunnerInfo,
+};
+
+use super::Control;
+use crate::command::Command;
+use crate::engine::ReportWire;
+use crate::place_event::PlaceEvent;
+use crate::place_request::PlaceRequest;
+use crate::platform::Platform;
+use crate::status::ShardStatus;
+use crate::vm_list::{RunnerVm, Vms};
+use crate::{Event, emit};
+
+/// A dispatcher and the requests that hold places there.
+pub struct Shard {
+    pub(super) dispatcher: Dispatcher,
+    pub(super) chosen: bool,
+    life: u64,
+    places: SecondaryMap<PlaceKey, Held>,
+}
+
+struct Held {
+    request: RequestId,
+    events: Sender<PlaceEvent>,
+}
+
+fn runner_info(vm: &RunnerVm) -> RunnerInfo {
+    RunnerInfo {
+        name: vm.name.clone(),
+        zone: vm.zone.clone(),
+        address: vm.address.clone(),
+        places: vm.places,
+        leaving: vm.leaving,
+    }
+}
+
+fn runners_of(vms: &Vms, upstream: &ModelName) -> Vec<RunnerInfo> {
+    vms.runners.iter().filter(|vm| vm.upstream == *upstream).map(runner_info).collect()
+}
+
+impl<P: Platform> Control<P> {
+    /// Starts or gives up dispatchers as the live members change.
+    pub(super) fn choose_dispatchers(&mut self, now: Millis) {
+        let live = self.members.live(now);
+        for upstream in self.classes.upstreams() {
+            let names = live.iter().map(|member| member.name.as_str());
+            let chosen = winner(&format!("dispatch/{upstream}"), names) == Some(self.node.me.name.as_str());
+            let was = self.shards.get(&upstream).is_some_and(|shard| shard.chosen);
+            match (was, chosen) {
+                (false, true) => self.start_shard(now, upstream),
+                (true, false) => self.give_up_shard(&upstream),
+                _ => {}
+            }
+        }
+    }
+
+    fn start_shard(&mut self, now: Millis, upstream: ModelName) {
+        let mut dispatcher = Dispatcher::new(DispatchSettings::default(), now);
+        for fingerprint in self.shards.values().flat_map(|shard| shard.dispatcher.condemned()) {
+            dispatcher.condemn(fingerprint);
+        }
+        dispatcher.set_runners(now, runners_of(&self.vms, &upstream));
+        self.lives += 1;
+        let shard = Shard { dispatcher, chosen: true, life: self.lives, places: SecondaryMap::new() };
+        self.shards.insert(upstream, shard);
+    }
+
+    /// Closes every place, so that requests go on at the dispatcher that follows.
+    fn give_up_shard(&mut self, upstream: &ModelName) {
+        if let Some(shard) = self.shards.get_mut(upstream) {
+            shard.chosen = false;
+            shard.places.clear();
+        }
+    }
+
+    pub(super) fn tick_shards(&mut self, now: Millis) {
+        let names: Vec<ModelName> = self.shards.keys().cloned().collect();
+        for name in names {
+            let actions = match self.shards.get_mut(&name) {
+                Some(shard) if shard.chosen => shard.dispatcher.tick(now),
+                _ => continue,
+            };
+            self.act_on_shard(&name, actions);
+        }
+    }
+
+    pub(super) fn set_runners(&mut self, now: Millis) {
+        let names: Vec<ModelName> = self.shards.keys().cloned().collect();
+        for name in names {
+            let list = runners_of(&self.vms, &name);
+            let actions = match self.shards.get_mut(&name) {
+                Some(shard) if shard.chosen => shard.dispatcher.set_runners(now, list),
+                _ => continue,
+            };
+            self.act_on_shard(&name, actions);
+        }
+    }
+
+    /// Gives a request a place; closing `events` without a word sends it elsewhere.
+    pub(super) fn enter(&mut self, place: PlaceRequest, events: Sender<PlaceEvent>, ends: Receiver<Outcome>) {
+        let now = self.now();
+        let upstream = place.upstream.clone();
+        let request = place.request.clone();
+        let Some(rule) = self.classes.rule(&place.class).cloned() else {
+            let refusal = PlaceEvent::Refused { code: ResultCode::NoConfiguration, retry: Millis(200) };
+            super::reply_to(&events, refusal);
+            return;
+        };
+        let Some(shard) = self.shards.get_mut(&upstream).filter(|shard| shard.chosen) else {
+            return;
+        };
+        let descriptor = Descriptor {
+            request: place.request,
+            customer: place.customer,
+            class: place.class,
+            rule,
+            fingerprint: place.fingerprint,
+            prefix: place.prefix,
+            prompt_tokens: place.prompt_tokens,
+            arrival: now.since(place.waited),
+            holding: place.holding,
+            admitted: place.admitted,
+            avoid: place.avoid,
+            zone: place.zone,
+        };
+        let (key, actions) = shard.dispatcher.enter(now, descriptor);
+        let life = shard.life;
+        shard.places.insert(key, Held { request, events });
+        let control = self.node.control.clone();
+        let waited_for = upstream.clone();
+        let wait = async move {
+            let outcome = ends.recv().await.unwrap_or(Outcome::bare(EndKind::Cancelled));
+            let leave = Command::Leave { upstream: waited_for, life, place: key, outcome };
+            // The control thread is gone only when the daemon ends.
+            let _ = control.send(leave).await;
+        };
+        self.tasks.spawn(wait).detach();
+        self.act_on_shard(&upstream, actions);
+    }
+
+    pub(super) fn leave(&mut self, upstream: &ModelName, life: u64, place: PlaceKey, outcome: Outcome) {
+        let now = self.now();
+        let Some(shard) = self.shards.get_mut(upstream).filter(|shard| shard.life == life) else {
+            return;
+        };
+        shard.places.remove(place);
+        let actions = shard.dispatcher.leave(now, place, outcome);
+        self.act_on_shard(upstream, actions);
+    }
+
+    pub(super) fn reported(&mut self, upstream: &ModelName, runner: &RunnerName, report: ReportWire) {
+        let now = self.now();
+        self.pushes.reported(runner, report.revisions);
+        let load = LoadReport { running: report.running, step_us: report.step_us };
+        let Some(shard) = self.shards.get_mut(upstream).filter(|shard| shard.chosen) else {
+            return;
+        };
+        let actions = shard.dispatcher.report(now, runner, load);
+        self.act_on_shard(upstream, actions);
+    }
+
+    fn act_on_shard(&mut self, upstream: &ModelName, actions: Vec<DispatchAction>) {
+        for action in actions {
+            match action {
+                DispatchAction::Grant { place, runner, waited, reason } => {
+                    self.grant(upstream, place, runner, waited, reason);
+                }
+                DispatchAction::Refuse { place, code, retry } => self.refuse(upstream, place, code, retry),
+                DispatchAction::Preempt { place } => {
+                    self.tell_place(upstream, place, Event::Preempted, PlaceEvent::Preempted, String::new());
+                }
+                DispatchAction::Condemn { fingerprint } => self.condemn(fingerprint),
+                DispatchAction::Eject { runner } => {
+                    emit!(Event::RunnerEjected, daemon = self.node.me.name, runner = runner);
+                }
+            }
+        }
+    }
+
+    fn grant(&mut self, upstream: &ModelName, place: PlaceKey, runner: RunnerInfo, waited: Millis, reason: &str) {
+        let Some(shard) = self.shards.get(upstream) else {
+            return;
+        };
+        let stats = shard.dispatcher.stats();
+        let considered = shard.dispatcher.pool().len();
+        let waiting: u32 = stats.waiting.iter().sum();
+        let grounds = format!(
+            "runner {} of {considered}: {reason}; waited {waited}, {} of {} places taken, {waiting} waiting",
+            runner.name, stats.running, stats.places
+        );
+        self.tell_place(upstream, place, Event::Granted, PlaceEvent::granted(runner, waited), grounds);
+    }
+
+    fn refuse(&mut self, upstream: &ModelName, place: PlaceKey, code: ResultCode, retry: Millis) {
+        let grounds = format!("{code}, retry in {retry}");
+        self.tell_place(upstream, place, Event::Refused, PlaceEvent::Refused { code, retry }, grounds);
+        if let Some(shard) = self.shards.get_mut(upstream) {
+            shard.places.remove(place);
+        }
+    }
+
+    fn tell_place(
+        &mut self,
+        upstream: &ModelName,
+        place: PlaceKey,
+        event: Event,
+        message: PlaceEvent,
+        grounds: String,
+    ) {
+        let Some(held) = self.shards.get(upstream).and_then(|shard| shard.places.get(place)) else {
+            return;
+        };
+        self.node.decide(&held.request, event, grounds);
+        super::reply_to(&held.events, message);
+    }
+
+    /// Refuses content at every dispatcher here, and by heartbeat everywhere.
+    pub(super) fn condemn(&mut self, fingerprint: Fingerprint) {
+        for shard in self.shards.values_mut() {
+            shard.dispatcher.condemn(fingerprint);
+        }
+        emit!(Event::Condemned, daemon = self.node.me.name, fingerprint = fingerprint);
+        self.heartbeat_all();
+    }
+
+    pub(super) fn shard_status(&self, name: &ModelName, shard: &Shard) -> ShardStatus {
+        let stats = shard.dispatcher.stats();
+        let runners = self.vms.runners.iter().filter(|vm| vm.upstream == *name);
+        let runners: BTreeMap<_, _> = runners.map(|vm| (vm.name.clone(), self.pushes.acknowledged(&vm.name))).collect();
+        ShardStatus { waiting: stats.waiting.to_vec(), running: stats.running, places: stats.places, runners }
+    }
+}
--- /dev/null
+++ b/crates/router/src/daemon.rs
@@ -0,0 +1,156 @@
+//! Starts and stops a daemon.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender, bounded, unbounded};
+use smol::net::TcpListener;
+use smol::{Executor, Timer};
+use teaselcroft_parts::{Incarnation, Member, SlotId, winner};
+
+use crate::api::serve_callers;
+use crate::command::Command;
+use crate::control::{Control, read_vm_list, watch_configs};
+use crate::execute::hand_over;
+use crate::node::Node;
+use crate::peer_listener::serve_peers;
+use crate::platform::Platform;
+use crate::{Event, Settings, emit};
+
+const STOP_CHECK: Duration = Duration::from_millis(20);
+const RELEASE_TRIES: u32 = 250;
+const FAREWELL: Duration = Duration::from_millis(100);
+
+/// A daemon that runs on threads of its own.
+pub struct Daemon<P> {
+    node: Arc<Node<P>>,
+    ended: Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl<P: Platform> Daemon<P> {
+    /// Starts a daemon: one thread for control state, the others for traffic.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be listened on, or a thread cannot be started.
+    pub fn start(settings: Settings, platform: P) -> io::Result<Daemon<P>> {
+        let callers = smol::block_on(TcpListener::bind(settings.listen))?;
+        let peers = smol::block_on(TcpListener::bind(settings.peer_listen))?;
+        let (control, commands) = unbounded();
+        let (ended, end) = bounded(1);
+        let traffic = Arc::new(Executor::new());
+        let me = Member { name: settings.daemon.clone(), incarnation: new_incarnation() };
+        let node = Arc::new(Node::new(settings, platform, me, control, traffic.clone()));
+        emit!(
+            Event::DaemonStarted,
+            daemon = node.me,
+            callers = node.settings.listen,
+            peers = node.settings.peer_listen
+        );
+        traffic.spawn(serve_callers(node.clone(), callers)).detach();
+        traffic.spawn(serve_peers(node.clone(), peers)).detach();
+        let mut threads = vec![start_control(node.clone(), commands, end.clone())?];
+        for index in 0..node.settings.limits.traffic_threads {
+            let executor = traffic.clone();
+            let end = end.clone();
+            let run = move || {
+                // An error means that the daemon has ended.
+                let _ = smol::block_on(executor.run(end.recv()));
+            };
+            threads.push(std::thread::Builder::new().name(format!("traffic-{index}")).spawn(run)?);
+        }
+        Ok(Daemon { node, ended, threads })
+    }
+
+    /// What the daemon's tasks share.
+    pub const fn node(&self) -> &Arc<Node<P>> {
+        &self.node
+    }
+
+    /// Stops as planned: takes no new work, lets every request end, hands over what it holds.
+    pub async fn stop(self) {
+        let node = &self.node;
+        emit!(Event::DaemonStopping, daemon = node.me, in_flight = node.in_flight.load(Ordering::Acquire));
+        node.stopping.store(true, Ordering::Release);
+        node.tell(Command::Leaving);
+        hand_over_outcomes(node).await;
+        node.tell(Command::ReleaseSlots);
+        let most = node.settings.limits.stop_ms / STOP_CHECK.as_millis() as u64;
+        for _ in 0..most {
+            if node.in_flight.load(Ordering::Acquire) == 0 {
+                break;
+            }
+            Timer::after(STOP_CHECK).await;
+        }
+        wait_for_release(node).await;
+        Timer::after(FAREWELL).await;
+        emit!(Event::DaemonStopped, daemon = node.me, in_flight = node.in_flight.load(Ordering::Acquire));
+        self.end();
+    }
+
+    /// Ends every thread at once.
+    pub fn end(self) {
+        drop(self.ended);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!("a thread of the daemon panicked");
+            }
+        }
+    }
+}
+
+/// Draws an incarnation that rises with each start by the wall clock.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let millis = since_epoch.map_or(0, |span| span.as_millis() as u64);
+    Incarnation((millis << 20) | u64::from(fastrand::u32(..1 << 20)))
+}
+
+fn start_control<P: Platform>(
+    node: Arc<Node<P>>,
+    commands: Receiver<Command>,
+    end: Receiver<()>,
+) -> io::Result<JoinHandle<()>> {
+    let run = move || {
+        let tasks = Arc::new(Executor::new());
+        let control = Control::new(node.clone(), tasks.clone());
+        tasks.spawn(control.run(commands)).detach();
+        tasks.spawn(read_vm_list(node.clone())).detach();
+        tasks.spawn(watch_configs(node)).detach();
+        // An error means that the daemon has ended.
+        let _ = smol::block_on(tasks.run(end.recv()));
+    };
+    std::thread::Builder::new().name("control".to_owned()).spawn(run)
+}
+
+/// Hands the outcomes of every slot executed here to the daemon that will follow.
+async fn hand_over_outcomes<P: Platform>(node: &Arc<Node<P>>) {
+    let view = node.view();
+    let slots = node.settings.limits.slots;
+    let names = || view.open.iter().map(|entry| entry.name.as_str()).filter(|name| *name != node.me.name.as_str());
+    for slot in (0..slots).map(SlotId) {
+        let owned = view.executors.get(&slot) == Some(&node.me);
+        let next = winner(&format!("slot/{slot}"), names()).and_then(|name| name.parse().ok());
+        let Some(next) = next.filter(|_| owned) else {
+            continue;
+        };
+        let outcomes = node.calls.ended_of(slot, slots);
+        if !outcomes.is_empty() {
+            hand_over(node, &next, slot, outcomes).await;
+        }
+    }
+}
+
+async fn wait_for_release<P: Platform>(node: &Arc<Node<P>>) {
+    for _ in 0..RELEASE_TRIES {
+        if node.pulse().slots.is_empty() {
+            return;
+        }
+        Timer::after(STOP_CHECK).await;
+    }
+    log::warn!("the key-value service does not answer; slots are left for others to take over");
+}
--- /dev/null
+++ b/crates/router/src/event.rs
@@ -0,0 +1,96 @@
+//! Numbered log events.
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])* $name:ident = $number:literal;)*) => {
+        /// A kind of log event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        #[repr(u32)]
+        pub enum Event {
+            $($(#[doc = $doc])* $name = $number,)*
+        }
+
+        impl Event {
+            /// Every event.
+            pub const ALL: &[Event] = &[$(Event::$name),*];
+
+            /// The event's name.
+            pub const fn name(self) -> &'static str {
+                match self { $(Event::$name => stringify!($name),)* }
+            }
+
+            /// What the event records.
+            pub const fn text(self) -> &'static str {
+                match self { $(Event::$name => concat!($($doc),*),)* }
+            }
+
+            /// The event's number.
+            pub const fn number(self) -> u32 {
+                self as u32
+            }
+        }
+    };
+}
+
+events! {
+    /// The daemon started.
+    DaemonStarted = 101;
+    /// A planned stop began.
+    DaemonStopping = 102;
+    /// The planned stop ended.
+    DaemonStopped = 103;
+    /// A peer is heard.
+    PeerLive = 110;
+    /// A peer is silent for too long or refuses connections.
+    PeerDead = 111;
+    /// A request was sent to a dispatcher.
+    DispatcherChosen = 201;
+    /// A dispatcher granted a runner.
+    Granted = 202;
+    /// A request was refused.
+    Refused = 203;
+    /// A running request gave up its runner for an urgent one.
+    Preempted = 204;
+    /// A runner is much slower than the others and gets one request at a time.
+    RunnerEjected = 205;
+    /// A request crashed its runners and is refused everywhere from now on.
+    Condemned = 206;
+    /// A broken or silent stream goes on elsewhere at its offset.
+    Resumed = 207;
+    /// A request ended.
+    Ended = 208;
+    /// This daemon executes a slot.
+    SlotOwned = 301;
+    /// This daemon released a slot.
+    SlotReleased = 302;
+    /// A call that must not repeat was sent to the executor of its slot.
+    ExecutorChosen = 303;
+    /// A call that must not repeat runs.
+    CallRuns = 304;
+    /// A call that must not repeat was not run here, because its slot moved.
+    CallMoved = 305;
+    /// A peer witnesses that calls run while the journal cannot be written.
+    OutageConsent = 306;
+    /// A configuration came into force.
+    ConfigInForce = 401;
+    /// A runner acknowledged a configuration.
+    ConfigPushed = 402;
+    /// A questionnaire was accepted.
+    QuestionnaireAccepted = 403;
+    /// A questionnaire lost a race or named an old revision.
+    QuestionnaireConflict = 404;
+    /// The key-value service does not answer.
+    StoreUnreachable = 501;
+    /// The key-value service answers again.
+    StoreReachable = 502;
+    /// The VM list cannot be read.
+    VmListUnreachable = 503;
+}
+
+/// Logs a numbered event with its grounds as key-value pairs.
+#[macro_export]
+macro_rules! emit {
+    ($event:expr, $($key:ident = $value:expr),+ $(,)?) => {{
+        let event: $crate::Event = $event;
+        log::info!(event = event.number(), $($key:% = $value),+; "{}", event.name());
+    }};
+}
--- /dev/null
+++ b/crates/router/src/execute.rs
@@ -0,0 +1,270 @@
+//! Executes calls that must not repeat, at the executor of their slot.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::bounded;
+use teaselcroft_parts::{ClassName, CustomerName, Fingerprint, KeyDigest, Millis, RequestId, SlotId, slot_of};
+use teaselcroft_policy::{ClassRule, EndKind, Outcome, ResultCode};
+
+use crate::Event;
+use crate::call_table::{Admission, CallOutcome};
+use crate::command::{Claimed, Command};
+use crate::generated::{ExecuteRequest, HandoverRequest};
+use crate::http_client::{HttpError, within};
+use crate::node::Node;
+use crate::peer_service::outcome_to_held;
+use crate::place::Place;
+use crate::place_event::{PlaceEvent, WireError, saturate};
+use crate::place_request::PlaceRequest;
+use crate::plain_service::{PlainService, ServiceCall};
+use crate::platform::Platform;
+
+const SHORTEST_CALL: Millis = Millis(2_000);
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A call that must not repeat.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Its customer.
+    pub customer: CustomerName,
+    /// Its class.
+    pub class: ClassName,
+    /// Its idempotency key.
+    pub key: String,
+    /// The request.
+    pub request: RequestId,
+    /// The body.
+    pub body: Vec<u8>,
+    /// How long ago the system first received it.
+    pub waited: Millis,
+}
+
+impl Call {
+    /// The digest under which the call is remembered.
+    pub fn digest(&self) -> KeyDigest {
+        KeyDigest::of(self.customer.as_str(), self.class.as_str(), &self.key)
+    }
+}
+
+impl From<Call> for ExecuteRequest {
+    fn from(call: Call) -> ExecuteRequest {
+        ExecuteRequest {
+            customer: call.customer.into(),
+            class: call.class.into(),
+            key: call.key,
+            request: call.request.into(),
+            body: call.body,
+            waited_ms: saturate(call.waited),
+        }
+    }
+}
+
+impl TryFrom<ExecuteRequest> for Call {
+    type Error = WireError;
+
+    fn try_from(wire: ExecuteRequest) -> Result<Call, WireError> {
+        Ok(Call {
+            customer: wire.customer.try_into().map_err(|_| WireError)?,
+            class: wire.class.try_into().map_err(|_| WireError)?,
+            key: wire.key,
+            request: wire.request.try_into().map_err(|_| WireError)?,
+            body: wire.body,
+            waited: Millis(wire.waited_ms.into()),
+        })
+    }
+}
+
+/// Executes `call` here, once for all its sendings; `None` if another daemon executes its slot.
+pub async fn execute<P: Platform>(node: &Arc<Node<P>>, call: Call) -> Option<CallOutcome> {
+    let key = call.digest();
+    let (claimed, outcome) = match node.calls.admit(key) {
+        Admission::Ended(outcome) => return Some(outcome),
+        Admission::Joined(outcome) => return outcome.recv().await.ok().and_then(unless_moved),
+        Admission::Fresh(outcome) => (false, outcome),
+        Admission::Claimed(outcome) => (true, outcome),
+    };
+    node.in_flight.fetch_add(1, Ordering::AcqRel);
+    let runner = node.clone();
+    let run = async move {
+        let run = Run { node: &runner, call, key, claimed };
+        run.finish().await;
+        runner.in_flight.fetch_sub(1, Ordering::AcqRel);
+    };
+    node.traffic.spawn(run).detach();
+    outcome.recv().await.ok().and_then(unless_moved)
+}
+
+/// A call whose slot moved is not this daemon's to answer.
+fn unless_moved(outcome: CallOutcome) -> Option<CallOutcome> {
+    (outcome.code != ResultCode::NoExecutor).then_some(outcome)
+}
+
+/// One run of a call, independent of who waits for it.
+struct Run<'a, P> {
+    node: &'a Arc<Node<P>>,
+    call: Call,
+    key: KeyDigest,
+    claimed: bool,
+}
+
+impl<P: Platform> Run<'_, P> {
+    async fn finish(mut self) {
+        let outcome = self.outcome().await;
+        let now = self.node.clock.now();
+        self.node.calls.finish(now, self.key, self.claimed, outcome.clone());
+        self.hand_over_late(outcome).await;
+    }
+
+    fn slot(&self) -> SlotId {
+        slot_of(self.key, self.node.settings.limits.slots)
+    }
+
+    async fn outcome(&mut self) -> CallOutcome {
+        let view = self.node.view();
+        let Some(rule) = view.classes.rule(&self.call.class).cloned() else {
+            return CallOutcome::bare(ResultCode::NoConfiguration);
+        };
+        let arrival = self.node.clock.now().since(self.call.waited);
+        let deadline = arrival + rule.patience;
+        loop {
+            let (place, address) = match self.wait_for_runner(&rule, arrival, deadline).await {
+                Ok(granted) => granted,
+                Err(refusal) => return refusal,
+            };
+            if let Err(refusal) = self.claim(deadline).await {
+                place.end(Outcome::bare(EndKind::Cancelled));
+                return refusal;
+            }
+            match self.call_service(&rule, &address).await {
+                Ok(outcome) => {
+                    place.end(Outcome::bare(EndKind::Done));
+                    return outcome;
+                }
+                Err(HttpError::Refused) => place.end(Outcome::bare(EndKind::Refused)),
+                Err(HttpError::Broken) => {
+                    place.end(Outcome::bare(EndKind::Broken));
+                    return CallOutcome::bare(ResultCode::ReplyLost);
+                }
+                Err(HttpError::Silent) => {
+                    place.end(Outcome::bare(EndKind::Silent));
+                    return CallOutcome::bare(ResultCode::ReplyLost);
+                }
+            }
+        }
+    }
+
+    async fn wait_for_runner(
+        &self,
+        rule: &ClassRule,
+        arrival: Millis,
+        deadline: Millis,
+    ) -> Result<(Place, String), CallOutcome> {
+        let mut place = Place::open(self.node, self.place_request(rule, arrival));
+        loop {
+            let left = deadline.since(self.node.clock.now());
+            let late = Some(PlaceEvent::Refused { code: ResultCode::PatienceOver, retry: Millis(0) });
+            match within(left.into(), late, place.event()).await {
+                Some(PlaceEvent::Granted { address, .. }) => return Ok((place, address)),
+                Some(PlaceEvent::Refused { code, retry }) => {
+                    return Err(CallOutcome { retry, ..CallOutcome::bare(code) });
+                }
+                Some(PlaceEvent::Preempted) => {}
+                None => place = Place::reopen(self.node, self.place_request(rule, arrival)),
+            }
+        }
+    }
+
+    fn place_request(&self, rule: &ClassRule, arrival: Millis) -> PlaceRequest {
+        PlaceRequest {
+            request: self.call.request.clone(),
+            customer: self.call.customer.clone(),
+            class: self.call.class.clone(),
+            upstream: rule.upstream.clone(),
+            fingerprint: Fingerprint::of(&[self.call.key.as_bytes(), &self.call.body]),
+            prefix: Fingerprint::default(),
+            prompt_tokens: rule.prompt_tokens,
+            waited: self.node.clock.now().since(arrival),
+            holding: None,
+            avoid: None,
+            admitted: self.claimed,
+            zone: self.node.settings.zone.clone(),
+        }
+    }
+
+    /// Claims the key, unless this daemon already was granted it.
+    async fn claim(&mut self, deadline: Millis) -> Result<(), CallOutcome> {
+        if self.claimed {
+            return Ok(());
+        }
+        let (answer, answers) = bounded(1);
+        let slot = self.slot();
+        self.node.tell(Command::Claim { slot, key: self.key, answer });
+        let left = deadline.since(self.node.clock.now());
+        let in_time = within(left.into(), None, async { answers.recv().await.ok() }).await;
+        if in_time.is_none() && self.cancel_claim().await {
+            return Err(CallOutcome::bare(ResultCode::PatienceOver));
+        }
+        let claimed = match in_time {
+            Some(claimed) => claimed,
+            None => answers.recv().await.unwrap_or(Claimed::Moved),
+        };
+        match claimed {
+            Claimed::Run => {
+                self.claimed = true;
+                Ok(())
+            }
+            Claimed::Moved => Err(CallOutcome::bare(ResultCode::NoExecutor)),
+            Claimed::Repeated | Claimed::Inherited => Err(CallOutcome::bare(ResultCode::ClaimedBefore)),
+            Claimed::Uncertain => Err(CallOutcome::bare(ResultCode::JournalGap)),
+        }
+    }
+
+    async fn cancel_claim(&self) -> bool {
+        let (answer, answers) = bounded(1);
+        self.node.tell(Command::CancelClaim { slot: self.slot(), key: self.key, answer });
+        answers.recv().await.unwrap_or(false)
+    }
+
+    async fn call_service(&self, rule: &ClassRule, address: &str) -> Result<CallOutcome, HttpError> {
+        let call = ServiceCall {
+            request: self.call.request.clone(),
+            class: self.call.class.to_string(),
+            key: Some(self.call.key.clone()),
+            body: self.call.body.clone(),
+            timeout: rule.target.max(SHORTEST_CALL),
+        };
+        let grounds = format!("slot {}, key claimed, at {address}", self.slot());
+        self.node.decide(&self.call.request, Event::CallRuns, grounds);
+        let reply = self.node.platform.services().call(address, &call).await?;
+        Ok(CallOutcome { status: reply.status, body: reply.body, ..CallOutcome::bare(ResultCode::Done) })
+    }
+
+    /// Tells the slot's next executor how a call ended that ran past the slot's release.
+    async fn hand_over_late(&self, outcome: CallOutcome) {
+        let slot = self.slot();
+        let owner = self.node.view().executors.get(&slot).cloned();
+        let Some(owner) = owner.filter(|owner| *owner != self.node.me && self.claimed) else {
+            return;
+        };
+        hand_over(self.node, &owner.name, slot, vec![(self.key, outcome)]).await;
+    }
+}
+
+/// Hands outcomes of `slot` to the daemon called `to`.
+pub async fn hand_over<P: Platform>(
+    node: &Node<P>,
+    to: &teaselcroft_parts::DaemonName,
+    slot: SlotId,
+    outcomes: Vec<(KeyDigest, CallOutcome)>,
+) {
+    let outcomes = outcomes.into_iter().map(outcome_to_held).collect();
+    let send = async {
+        if let Ok(mut client) = node.client(to).await {
+            // Without it the next executor answers that the call may have run, which is true.
+            let _ = client.handover(HandoverRequest { slot: slot.0, epoch: 0, outcomes }).await;
+        }
+    };
+    within(HANDOVER_TIMEOUT, (), send).await;
+}
--- /dev/null
+++ b/crates/router/src/explain.rs
@@ -0,0 +1,61 @@
+//! Recent decisions, by request.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
+use teaselcroft_parts::{Millis, RequestId};
+
+use crate::Event;
+
+const MAX_REQUESTS: usize = 20_000;
+
+/// One decision about a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decision {
+    /// When, in milliseconds since the daemon started.
+    pub at_ms: u64,
+    /// The number of the log event.
+    pub event: u32,
+    /// Its name.
+    pub name: String,
+    /// Its grounds.
+    pub grounds: String,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    requests: HashMap<RequestId, Vec<Decision>>,
+    ages: VecDeque<RequestId>,
+}
+
+/// Remembers why recent requests went where they went.
+#[derive(Debug, Default)]
+pub struct Explanations {
+    inner: Mutex<Inner>,
+}
+
+impl Explanations {
+    /// Records a decision about `request`.
+    pub fn record(&self, now: Millis, request: &RequestId, event: Event, grounds: String) {
+        let decision = Decision { at_ms: now.0, event: event.number(), name: event.name().to_owned(), grounds };
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(decisions) = inner.requests.get_mut(request) {
+            decisions.push(decision);
+            return;
+        }
+        inner.requests.insert(request.clone(), vec![decision]);
+        inner.ages.push_back(request.clone());
+        if inner.ages.len() > MAX_REQUESTS
+            && let Some(oldest) = inner.ages.pop_front()
+        {
+            inner.requests.remove(&oldest);
+        }
+    }
+
+    /// Every remembered decision about `request`, the oldest first.
+    pub fn find(&self, request: &RequestId) -> Vec<Decision> {
+        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.requests.get(request).cloned().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/router/src/kv_http.rs
@@ -0,0 +1,72 @@
+//! The key-value service over HTTP.
+
+use std::net::SocketAddr;
+
+use http_types::Method;
+use serde::Deserialize;
+use teaselcroft_parts::Millis;
+
+use crate::http_client::HttpCall;
+use crate::kv::{KeyValue, StoreSilent, Stored, SwapAnswer};
+
+const WATCH_MS: u64 = 10_000;
+
+/// Reaches the key-value service over HTTP.
+#[derive(Debug, Clone)]
+pub struct KvHttp {
+    address: String,
+    timeout: Millis,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchedWire {
+    key: String,
+    version: u64,
+    value: String,
+}
+
+impl KvHttp {
+    /// The service at `address`; calls are given up after `timeout`.
+    pub fn new(address: SocketAddr, timeout: Millis) -> KvHttp {
+        KvHttp { address: address.to_string(), timeout }
+    }
+}
+
+impl KeyValue for KvHttp {
+    async fn get(&self, key: &str) -> Result<Option<Stored>, StoreSilent> {
+        let call = HttpCall::get(&self.address, format!("/kv/{key}"), self.timeout);
+        let reply = call.send().await.map_err(|_| StoreSilent)?;
+        match reply.status {
+            200 => Ok(Some(Stored { version: reply.version, value: reply.body })),
+            404 => Ok(None),
+            _ => Err(StoreSilent),
+        }
+    }
+
+    async fn swap(&self, key: &str, value: Vec<u8>, expected: u64) -> Result<SwapAnswer, StoreSilent> {
+        let path = format!("/kv/{key}?expected={expected}");
+        let call = HttpCall { method: Method::Put, body: value, ..HttpCall::get(&self.address, path, self.timeout) };
+        let reply = call.send().await.map_err(|_| StoreSilent)?;
+        match reply.status {
+            200 => Ok(SwapAnswer::Done(reply.version)),
+            409 if reply.version == 0 => Ok(SwapAnswer::Conflict(None)),
+            409 => Ok(SwapAnswer::Conflict(Some(Stored { version: reply.version, value: reply.body }))),
+            _ => Err(StoreSilent),
+        }
+    }
+
+    async fn watch(&self, prefix: &str, after: u64) -> Result<Vec<(String, Stored)>, StoreSilent> {
+        let path = format!("/watch/{prefix}?after={after}&wait_ms={WATCH_MS}");
+        let call = HttpCall::get(&self.address, path, self.timeout + Millis(WATCH_MS));
+        let reply = call.send().await.map_err(|_| StoreSilent)?;
+        if reply.status != 200 {
+            return Err(StoreSilent);
+        }
+        let watched: Vec<WatchedWire> = serde_json::from_slice(&reply.body).map_err(|_| StoreSilent)?;
+        let stored = watched.into_iter().map(|wire| {
+            let value = Stored { version: wire.version, value: wire.value.into_bytes() };
+            (wire.key, value)
+        });
+        Ok(stored.collect())
+    }
+}
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,17 @@
+//! The entry daemon.
+
+mod cli;
+
+use clap::Parser;
+use teaselcroft_router::{ExitCode, run_daemon};
+
+fn main() -> std::process::ExitCode {
+    let arguments = cli::Arguments::parse();
+    match run_daemon(&arguments.config, arguments.check) {
+        Ok(code) => code.into(),
+        Err(report) => {
+            eprintln!("teaselcroftd: {report:?}");
+            ExitCode::BadInput.into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,90 @@
+//! Counters and histograms.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Labels of a request's end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// The class.
+    pub class: String,
+    /// The result code.
+    pub code: u32,
+}
+
+/// Labels of a call to the platform.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// The kind of call.
+    pub call: &'static str,
+    /// Whether it was answered.
+    pub answered: &'static str,
+}
+
+/// What the daemon measures.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests ended.
+    pub ended: Family<EndLabels, Counter>,
+    /// Requests being served.
+    pub in_flight: Gauge,
+    /// Time from arrival to the end, in seconds.
+    pub seconds: Histogram,
+    /// Time from arrival to the first token, in seconds.
+    pub first_seconds: Histogram,
+    /// Calls to the key-value service.
+    pub store_calls: Family<StoreLabels, Counter>,
+    /// Bytes of control messages sent to peers.
+    pub control_bytes: Counter,
+    /// Streams that went on elsewhere.
+    pub resumed: Counter,
+}
+
+fn seconds_buckets() -> Histogram {
+    Histogram::new([0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0])
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("teaselcroft"),
+            ended: Family::default(),
+            in_flight: Gauge::default(),
+            seconds: seconds_buckets(),
+            first_seconds: seconds_buckets(),
+            store_calls: Family::default(),
+            control_bytes: Counter::default(),
+            resumed: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests ended", self.ended.clone());
+        registry.register("requests_in_flight", "Requests being served", self.in_flight.clone());
+        registry.register("request_seconds", "Time from arrival to the end", self.seconds.clone());
+        registry.register("first_token_seconds", "Time from arrival to the first token", self.first_seconds.clone());
+        registry.register("store_calls", "Calls to the key-value service", self.store_calls.clone());
+        registry.register("control_bytes", "Bytes of control messages sent to peers", self.control_bytes.clone());
+        registry.register("streams_resumed", "Streams that went on elsewhere", self.resumed.clone());
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# metrics cannot be written: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/peer_service.rs
@@ -0,0 +1,155 @@
+//! What a daemon answers its peers.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use async_channel::{Receiver, bounded};
+use futures_util::{Stream, StreamExt};
+use teaselcroft_parts::{Incarnation, KeyDigest, Millis, SlotId};
+use teaselcroft_policy::ResultCode;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::call_table::CallOutcome;
+use crate::command::Command;
+use crate::execute;
+use crate::generated::peer_server::Peer;
+use crate::generated::{
+    ConfigEntry, DispatchDown, DispatchUp, ExecuteReply, ExecuteRequest, HandoverReply, HandoverRequest, Heartbeat,
+    HeldOutcome, PullConfigReply, PullConfigRequest, WitnessReply, WitnessRequest,
+};
+use crate::node::Node;
+use crate::place_event::{PlaceEvent, saturate};
+use crate::place_request::{PlaceRequest, outcome_from_wire};
+use crate::platform::Platform;
+use crate::pulse::Pulse;
+
+const PLACE_EVENTS: usize = 4;
+
+/// Answers peers.
+pub struct PeerService<P> {
+    node: Arc<Node<P>>,
+}
+
+impl<P> PeerService<P> {
+    /// The service of `node`.
+    pub fn new(node: Arc<Node<P>>) -> PeerService<P> {
+        PeerService { node }
+    }
+}
+
+type Downs = Pin<Box<dyn Stream<Item = Result<DispatchDown, Status>> + Send>>;
+
+async fn ask<T, P: Platform>(
+    node: &Node<P>,
+    command: impl FnOnce(async_channel::Sender<T>) -> Command,
+) -> Result<T, Status> {
+    let (sender, receiver) = bounded(1);
+    node.tell(command(sender));
+    receiver.recv().await.map_err(|_| Status::unavailable("the daemon is ending"))
+}
+
+/// Passes on a request's outcome when its daemon sends it; closes when that daemon is gone.
+async fn forward_outcome(mut ups: Streaming<DispatchUp>, ends: async_channel::Sender<teaselcroft_policy::Outcome>) {
+    if let Ok(Some(up)) = ups.message().await {
+        // The control thread is gone only when the daemon ends.
+        let _ = ends.send(outcome_from_wire(up)).await;
+    }
+}
+
+fn downs(events: Receiver<PlaceEvent>) -> Downs {
+    Box::pin(events.map(|event| Ok(event.into())))
+}
+
+#[tonic::async_trait]
+impl<P: Platform> Peer for PeerService<P> {
+    type DispatchStream = Downs;
+
+    async fn exchange(&self, request: Request<Heartbeat>) -> Result<Response<Heartbeat>, Status> {
+        let pulse = Pulse::try_from(request.into_inner()).map_err(|_| Status::invalid_argument("not a heartbeat"))?;
+        self.node.tell(Command::Heard(pulse));
+        Ok(Response::new(self.node.pulse()))
+    }
+
+    async fn dispatch(&self, request: Request<Streaming<DispatchUp>>) -> Result<Response<Downs>, Status> {
+        let mut ups = request.into_inner();
+        let first = ups.message().await?.ok_or_else(|| Status::invalid_argument("no request"))?;
+        let place = PlaceRequest::try_from(first).map_err(|_| Status::invalid_argument("not a request"))?;
+        let (events, events_out) = bounded(PLACE_EVENTS);
+        let (ends_in, ends) = bounded(1);
+        self.node.tell(Command::Enter { place, events, ends });
+        self.node.traffic.spawn(forward_outcome(ups, ends_in)).detach();
+        Ok(Response::new(downs(events_out)))
+    }
+
+    async fn execute(&self, request: Request<ExecuteRequest>) -> Result<Response<ExecuteReply>, Status> {
+        let call = execute::Call::try_from(request.into_inner());
+        let call = call.map_err(|_| Status::invalid_argument("not a call"))?;
+        let outcome = match execute::execute(&self.node, call).await {
+            Some(outcome) => outcome,
+            None => return Err(Status::failed_precondition("another daemon executes this slot")),
+        };
+        Ok(Response::new(outcome_to_reply(outcome)))
+    }
+
+    async fn witness(&self, request: Request<WitnessRequest>) -> Result<Response<WitnessReply>, Status> {
+        let WitnessRequest { slot, epoch, owner, record, through } = request.into_inner();
+        let owner = Incarnation(owner);
+        let slot = SlotId(slot);
+        let command = |answer| Command::Witness { slot, epoch, through, owner, record, answer };
+        let agreed = ask(&self.node, command).await?;
+        Ok(Response::new(WitnessReply { agreed, incarnation: self.node.me.incarnation.0 }))
+    }
+
+    async fn handover(&self, request: Request<HandoverRequest>) -> Result<Response<HandoverReply>, Status> {
+        let outcomes = request.into_inner().outcomes.into_iter().filter_map(outcome_from_held);
+        self.node.calls.take_over(self.node.clock.now(), outcomes.collect());
+        Ok(Response::new(HandoverReply { accepted: true }))
+    }
+
+    async fn pull_config(&self, request: Request<PullConfigRequest>) -> Result<Response<PullConfigReply>, Status> {
+        let after = request.into_inner().after;
+        let configs = ask(&self.node, |answer| Command::PullConfigs { after, answer }).await?;
+        let entries = configs.into_iter().map(|(team, config)| ConfigEntry {
+            team: team.into(),
+            version: config.version,
+            value: config.value,
+        });
+        Ok(Response::new(PullConfigReply { entries: entries.collect() }))
+    }
+}
+
+fn outcome_to_reply(outcome: CallOutcome) -> ExecuteReply {
+    ExecuteReply {
+        code: outcome.code.number(),
+        status: outcome.status.into(),
+        body: outcome.body,
+        retry_ms: saturate(outcome.retry),
+    }
+}
+
+/// The outcome in a peer's reply; a code that is not known counts as a lost reply.
+pub fn outcome_from_reply(reply: ExecuteReply) -> CallOutcome {
+    CallOutcome {
+        code: ResultCode::from_number(reply.code).unwrap_or(ResultCode::ReplyLost),
+        status: u16::try_from(reply.status).unwrap_or(502),
+        body: reply.body,
+        retry: Millis(reply.retry_ms.into()),
+    }
+}
+
+/// The wire form of an outcome that is handed over.
+pub fn outcome_to_held((key, outcome): (KeyDigest, CallOutcome)) -> HeldOutcome {
+    let (key_high, key_low) = key.halves();
+    let code = outcome.code.number();
+    HeldOutcome { key_high, key_low, code, status: outcome.status.into(), body: outcome.body }
+}
+
+fn outcome_from_held(held: HeldOutcome) -> Option<(KeyDigest, CallOutcome)> {
+    let outcome = CallOutcome {
+        code: ResultCode::from_number(held.code)?,
+        status: u16::try_from(held.status).ok()?,
+        body: held.body,
+        retry: Millis(0),
+    };
+    Some((KeyDigest::from_halves(held.key_high, held.key_low), outcome))
+}
--- /dev/null
+++ b/crates/router/src/place.rs
@@ -0,0 +1,99 @@
+//! A request's place at a dispatcher, kept open for as long as the request lives.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender, bounded};
+use futures_util::{StreamExt, stream};
+use smol::Timer;
+use teaselcroft_policy::Outcome;
+
+use crate::command::Command;
+use crate::generated::DispatchUp;
+use crate::node::Node;
+use crate::place_event::PlaceEvent;
+use crate::place_request::{PlaceRequest, outcome_to_wire};
+use crate::platform::Platform;
+
+const PLACE_EVENTS: usize = 4;
+
+/// How long to wait before the next dispatcher is asked.
+const REOPEN: Duration = Duration::from_millis(30);
+
+/// A place at the dispatcher of the day; dropping it gives the place up.
+#[derive(Debug)]
+pub struct Place {
+    events: Receiver<PlaceEvent>,
+    ends: Sender<Outcome>,
+}
+
+impl Place {
+    /// Asks the dispatcher for a place.
+    pub fn open<P: Platform>(node: &Arc<Node<P>>, request: PlaceRequest) -> Place {
+        Place::open_after(node, request, Duration::ZERO)
+    }
+
+    /// Asks the dispatcher that followed one that was lost.
+    pub fn reopen<P: Platform>(node: &Arc<Node<P>>, request: PlaceRequest) -> Place {
+        Place::open_after(node, request, REOPEN)
+    }
+
+    fn open_after<P: Platform>(node: &Arc<Node<P>>, request: PlaceRequest, delay: Duration) -> Place {
+        let (events_in, events) = bounded(PLACE_EVENTS);
+        let (ends, ends_out) = bounded(1);
+        let place = Place { events, ends };
+        let dispatcher = node.view().dispatchers.get(&request.upstream).cloned();
+        if delay.is_zero() && dispatcher.as_ref() == Some(&node.me.name) {
+            node.tell(Command::Enter { place: request, events: events_in, ends: ends_out });
+            return place;
+        }
+        node.traffic.spawn(bridge(node.clone(), request, delay, events_in, ends_out)).detach();
+        place
+    }
+
+    /// The next word of the dispatcher, or `None` if it is gone.
+    pub async fn event(&self) -> Option<PlaceEvent> {
+        self.events.recv().await.ok()
+    }
+
+    /// Gives the place up and says how the request ended.
+    pub fn end(self, outcome: Outcome) {
+        // A dispatcher that is gone has no use for the outcome.
+        let _ = self.ends.try_send(outcome);
+    }
+}
+
+/// Carries a place's messages to and from the dispatcher that is in charge after `delay`.
+async fn bridge<P: Platform>(
+    node: Arc<Node<P>>,
+    request: PlaceRequest,
+    delay: Duration,
+    events: Sender<PlaceEvent>,
+    ends: Receiver<Outcome>,
+) {
+    Timer::after(delay).await;
+    let Some(dispatcher) = node.view().dispatchers.get(&request.upstream).cloned() else {
+        return;
+    };
+    if dispatcher == node.me.name {
+        node.tell(Command::Enter { place: request, events, ends });
+        return;
+    }
+    let Ok(mut client) = node.client(&dispatcher).await else {
+        return;
+    };
+    let enter: DispatchUp = request.into();
+    let ups = stream::once(async { enter }).chain(ends.map(outcome_to_wire));
+    let Ok(reply) = client.dispatch(ups).await else {
+        return;
+    };
+    let mut downs = reply.into_inner();
+    while let Ok(Some(down)) = downs.message().await {
+        let Ok(event) = PlaceEvent::try_from(down) else {
+            return;
+        };
+        if events.send(event).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/place_request.rs
@@ -0,0 +1,120 @@
+//! A request for a place at a dispatcher.
+
+use teaselcroft_parts::{ClassName, CustomerName, Fingerprint, Millis, ModelName, RequestId, RunnerName, ZoneName};
+use teaselcroft_policy::{EndKind, Outcome};
+
+use crate::generated::{self, DispatchUp, Enter, dispatch_up};
+use crate::place_event::{WireError, saturate};
+
+/// A request for a place, as one daemon sends it to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlaceRequest {
+    /// The request.
+    pub request: RequestId,
+    /// Its customer.
+    pub customer: CustomerName,
+    /// Its class.
+    pub class: ClassName,
+    /// The model or service that serves it.
+    pub upstream: ModelName,
+    /// Identifies its content.
+    pub fingerprint: Fingerprint,
+    /// Identifies the beginning of its prompt.
+    pub prefix: Fingerprint,
+    /// The estimated size of its prompt.
+    pub prompt_tokens: u32,
+    /// How long ago the system first received it.
+    pub waited: Millis,
+    /// The runner that already runs it.
+    pub holding: Option<RunnerName>,
+    /// The runner on which it just failed.
+    pub avoid: Option<RunnerName>,
+    /// Whether it was granted a runner before.
+    pub admitted: bool,
+    /// The zone of the entry daemon.
+    pub zone: ZoneName,
+}
+
+fn optional(name: String) -> Result<Option<RunnerName>, WireError> {
+    if name.is_empty() {
+        return Ok(None);
+    }
+    name.try_into().map(Some).map_err(|_| WireError)
+}
+
+fn text(name: Option<RunnerName>) -> String {
+    name.map(String::from).unwrap_or_default()
+}
+
+impl From<PlaceRequest> for DispatchUp {
+    fn from(place: PlaceRequest) -> DispatchUp {
+        let enter = Enter {
+            request: place.request.into(),
+            customer: place.customer.into(),
+            class: place.class.into(),
+            shard: place.upstream.into(),
+            fingerprint: place.fingerprint.0,
+            prefix: place.prefix.0,
+            prompt_tokens: place.prompt_tokens,
+            waited_ms: saturate(place.waited),
+            holding: text(place.holding),
+            avoid: text(place.avoid),
+            zone: place.zone.into(),
+            admitted: place.admitted,
+        };
+        DispatchUp { step: Some(dispatch_up::Step::Enter(enter)) }
+    }
+}
+
+impl TryFrom<DispatchUp> for PlaceRequest {
+    type Error = WireError;
+
+    fn try_from(up: DispatchUp) -> Result<PlaceRequest, WireError> {
+        let Some(dispatch_up::Step::Enter(enter)) = up.step else {
+            return Err(WireError);
+        };
+        Ok(PlaceRequest {
+            request: enter.request.try_into().map_err(|_| WireError)?,
+            customer: enter.customer.try_into().map_err(|_| WireError)?,
+            class: enter.class.try_into().map_err(|_| WireError)?,
+            upstream: enter.shard.try_into().map_err(|_| WireError)?,
+            fingerprint: Fingerprint(enter.fingerprint),
+            prefix: Fingerprint(enter.prefix),
+            prompt_tokens: enter.prompt_tokens,
+            waited: Millis(enter.waited_ms.into()),
+            holding: optional(enter.holding)?,
+            avoid: optional(enter.avoid)?,
+            admitted: enter.admitted,
+            zone: enter.zone.try_into().map_err(|_| WireError)?,
+        })
+    }
+}
+
+/// The wire form of an outcome.
+pub fn outcome_to_wire(outcome: Outcome) -> DispatchUp {
+    let kind = match outcome.kind {
+        EndKind::Done => generated::EndKind::Done,
+        EndKind::Cancelled => generated::EndKind::Cancelled,
+        EndKind::Broken => generated::EndKind::Broken,
+        EndKind::Refused => generated::EndKind::Refused,
+        EndKind::Silent => generated::EndKind::Silent,
+    };
+    let elapsed_ms = saturate(outcome.elapsed);
+    let wire = generated::Outcome { kind: kind.into(), tokens: outcome.tokens, elapsed_ms };
+    DispatchUp { step: Some(dispatch_up::Step::Outcome(wire)) }
+}
+
+/// An outcome from its wire form; anything else counts as cancelled.
+pub fn outcome_from_wire(up: DispatchUp) -> Outcome {
+    let Some(dispatch_up::Step::Outcome(wire)) = up.step else {
+        return Outcome::bare(EndKind::Cancelled);
+    };
+    let kind = match wire.kind() {
+        generated::EndKind::Done => EndKind::Done,
+        generated::EndKind::Broken => EndKind::Broken,
+        generated::EndKind::Refused => EndKind::Refused,
+        generated::EndKind::Silent => EndKind::Silent,
+        generated::EndKind::Cancelled | generated::EndKind::Unspecified => EndKind::Cancelled,
+    };
+    Outcome { kind, tokens: wire.tokens, elapsed: Millis(wire.elapsed_ms.into()) }
+}
--- /dev/null
+++ b/crates/standins/src/bin/replay.rs
@@ -0,0 +1,77 @@
+//! Plays a trace against real daemon processes and reports what became of it.
+
+use std::path::{Path, PathBuf};
+
+use clap::{Parser, Subcommand};
+use teaselcroft_router::{ExitCode, run_daemon};
+use teaselcroft_standins::{ProcessFleet, Report, Runtime, Trace, play, render};
+
+/// Plays a trace against real daemon processes and reports what became of it.
+#[derive(Debug, Parser)]
+#[command(name = "replay", version, args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<InnerCommand>,
+
+    /// The trace, in JSON Lines.
+    #[arg(required = true)]
+    trace: Option<PathBuf>,
+
+    /// Where to write the report.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+
+    /// Where to keep the daemons' settings and logs; a temporary folder otherwise.
+    #[arg(long, value_name = "FOLDER")]
+    keep: Option<PathBuf>,
+}
+
+#[derive(Debug, Subcommand)]
+enum InnerCommand {
+    /// Runs one daemon; replay starts itself this way.
+    #[command(hide = true)]
+    Daemon {
+        /// The settings file.
+        #[arg(long)]
+        config: PathBuf,
+    },
+}
+
+fn main() -> std::process::ExitCode {
+    let arguments = Arguments::parse();
+    if let Some(InnerCommand::Daemon { config }) = arguments.command {
+        return match run_daemon(&config, false) {
+            Ok(code) => code.into(),
+            Err(report) => fail(&format!("{report:?}")).into(),
+        };
+    }
+    let trace = arguments.trace.unwrap_or_default();
+    replay(&trace, arguments.report.as_deref(), arguments.keep).unwrap_or_else(|reason| fail(&reason)).into()
+}
+
+fn fail(reason: &str) -> ExitCode {
+    eprintln!("replay: {reason}");
+    ExitCode::BadInput
+}
+
+fn replay(path: &Path, report_path: Option<&Path>, keep: Option<PathBuf>) -> Result<ExitCode, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let trace = Trace::parse(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+    let temporary = tempfile::tempdir().map_err(|error| error.to_string())?;
+    let folder = keep.unwrap_or_else(|| temporary.path().to_owned());
+    std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+    let runtime = Runtime::start().map_err(|error| error.to_string())?;
+    let fleet = ProcessFleet::new(folder);
+    let played = smol::block_on(play(runtime.executor(), trace, fleet, |text| println!("{text}")));
+    let played = played.map_err(|error| error.to_string())?;
+    let report = Report::of(&played);
+    println!("{}", render(&report, |class| played.rules.get(class).map_or(0, |rule| rule.target.0)));
+    for reason in report.reasons.iter().take(20) {
+        println!("violated: {reason}");
+    }
+    if let Some(report_path) = report_path {
+        let json = serde_json::to_string_pretty(&report).map_err(|error| error.to_string())?;
+        std::fs::write(report_path, json).map_err(|error| format!("{}: {error}", report_path.display()))?;
+    }
+    Ok(if report.holds() { ExitCode::Success } else { ExitCode::Failure })
+}
--- /dev/null
+++ b/crates/standins/src/fleet_processes.rs
@@ -0,0 +1,90 @@
+//! Daemons as processes with real signals, for replay.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
+
+use rustix::process::{Pid, Signal, kill_process};
+use teaselcroft_parts::DaemonName;
+
+use crate::fleet::{DaemonPlan, Fleet};
+
+/// Daemons as processes that this program starts from its own executable.
+pub struct ProcessFleet {
+    folder: PathBuf,
+    children: Mutex<BTreeMap<DaemonName, Vec<Child>>>,
+}
+
+impl ProcessFleet {
+    /// A fleet without daemons, whose settings and logs go to `folder`.
+    pub fn new(folder: PathBuf) -> ProcessFleet {
+        ProcessFleet { folder, children: Mutex::default() }
+    }
+
+    fn signal(&self, name: &DaemonName, signal: Signal) -> io::Result<()> {
+        let Some(pid) = self.process(name) else {
+            return Err(io::Error::new(io::ErrorKind::NotFound, format!("{name} does not run")));
+        };
+        let pid = i32::try_from(pid).ok().and_then(Pid::from_raw);
+        let pid = pid.ok_or_else(|| io::Error::other("not a process id"))?;
+        Ok(kill_process(pid, signal)?)
+    }
+}
+
+impl Fleet for ProcessFleet {
+    fn start(&self, plan: &DaemonPlan) -> io::Result<()> {
+        let config = self.folder.join(format!("{}.yaml", plan.name));
+        std::fs::write(&config, &plan.settings)?;
+        let log = File::options().create(true).append(true).open(self.folder.join(format!("{}.log", plan.name)))?;
+        let child = Command::new(std::env::current_exe()?)
+            .arg("daemon")
+            .arg("--config")
+            .arg(&config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        let mut children = self.children.lock().unwrap_or_else(PoisonError::into_inner);
+        children.entry(plan.name.clone()).or_default().push(child);
+        Ok(())
+    }
+
+    fn kill(&self, name: &DaemonName) -> io::Result<()> {
+        self.signal(name, Signal::KILL)
+    }
+
+    fn stop(&self, name: &DaemonName) -> io::Result<()> {
+        self.signal(name, Signal::TERM)
+    }
+
+    fn pause(&self, name: &DaemonName) -> io::Result<()> {
+        self.signal(name, Signal::STOP)
+    }
+
+    fn resume(&self, name: &DaemonName) -> io::Result<()> {
+        self.signal(name, Signal::CONT)
+    }
+
+    fn process(&self, name: &DaemonName) -> Option<u32> {
+        let mut children = self.children.lock().unwrap_or_else(PoisonError::into_inner);
+        let child = children.get_mut(name)?.last_mut()?;
+        let running = matches!(child.try_wait(), Ok(None));
+        running.then(|| child.id())
+    }
+}
+
+impl Drop for ProcessFleet {
+    fn drop(&mut self) {
+        let children = self.children.get_mut().unwrap_or_else(PoisonError::into_inner);
+        for child in children.values_mut().flatten() {
+            if matches!(child.try_wait(), Ok(None)) {
+                // A child that ended in between needs no signal.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,42 @@
+//! Stand-ins for the platform and players of traces, for development only.
+
+mod batch;
+mod caller;
+mod engine_server;
+mod fleet;
+mod fleet_processes;
+mod fleet_threads;
+mod generator;
+mod judge;
+mod kv_server;
+mod ledger;
+mod lifeline;
+mod operator;
+mod orders;
+mod platform;
+mod playback;
+mod process_usage;
+mod report;
+mod runtime;
+mod service_server;
+mod site;
+mod table;
+mod trace;
+mod verdict;
+mod vm_server;
+mod world;
+
+pub use caller::{CallRecord, Callers, customer_key};
+pub use fleet::{DaemonPlan, Fleet, OPERATOR_KEY, plan_daemons};
+pub use fleet_processes::ProcessFleet;
+pub use fleet_threads::ThreadFleet;
+pub use generator::{GeneratorSettings, add_event, add_resends, demo_trace, generate};
+pub use judge::Promise;
+pub use platform::{Runner, StandIns, list_daemons};
+pub use playback::{PlayError, Played, play};
+pub use report::{ClassReport, Report};
+pub use runtime::Runtime;
+pub use site::{RunnerGroup, Site};
+pub use table::render;
+pub use trace::{EventKind, Trace, TraceError, TraceEvent, TraceHead, TraceRequest};
+pub use world::World;
