Make calls run at most once in every schedule tried

Cause: a quickcheck-style run of executors under loss, delay, pause, crash, cuts and outages found five ways to run a key twice or to say 'not run' of one that ran. (5) A late answer was taken for that of a newer question. Ruled out: the store's compare-and-swap, the retention of claims. Change: every witness of every record that the store may hold has to consent; one that answers a successor ends its consent; a consent covers the epochs it was asked for; 'not run' is confirmed by reading the slot's record. Two witnesses a slot: an outage and the death of one of them stalls that slot's calls until the store returns.

--- a/crates/parts/src/gap_witness.rs
+++ b/crates/parts/src/gap_witness.rs
@@ -14,16 +14,23 @@
     NoGap,
 }
 
-/// Remembers, per slot and epoch, either a gap or the promise not to allow one.
+/// Remembers, per slot and epoch, whether calls ran outside the journal, and for whom it no longer
+/// allows that.
 ///
-/// An executor needs one witness to open a gap; a successor asks all of them. Whichever comes
-/// first at the witness they share decides, so the two cannot both pass unseen.
+/// An executor needs every witness of its record to open a gap and to keep it open; a successor
+/// asks them, and one that answers is enough: it says whether there was a gap and ends its consent.
 #[derive(Debug, Clone, Default)]
 pub struct GapWitness {
-    answers: BTreeMap<(SlotId, u64, Incarnation), WitnessAnswer>,
+    marks: BTreeMap<(SlotId, u64, Incarnation), Mark>,
     floors: BTreeMap<SlotId, u64>,
 }
 
+#[derive(Debug, Clone, Copy, Default)]
+struct Mark {
+    recorded: bool,
+    denied: bool,
+}
+
 impl GapWitness {
     /// An executor asks to run calls outside its journal; true if this witness remembers it.
     ///
@@ -33,21 +40,24 @@
         if *epochs.start() < self.floor(slot) {
             return false;
         }
-        let denied = |epoch| self.answers.get(&(slot, epoch, owner)) == Some(&WitnessAnswer::NoGap);
+        let denied = |epoch| self.marks.get(&(slot, epoch, owner)).is_some_and(|mark| mark.denied);
         if epochs.clone().any(denied) {
             return false;
         }
-        let gaps = epochs.map(|epoch| ((slot, epoch, owner), WitnessAnswer::Gap));
-        self.answers.extend(gaps);
+        for epoch in epochs {
+            self.marks.entry((slot, epoch, owner)).or_default().recorded = true;
+        }
         true
     }
 
-    /// A successor asks whether the executor had a gap; from now on it cannot open one here.
+    /// A successor asks whether the executor had a gap; from now on it gets no consent here.
     pub fn ask(&mut self, slot: SlotId, epoch: u64, owner: Incarnation) -> WitnessAnswer {
         if epoch < self.floor(slot) {
             return WitnessAnswer::Gap;
         }
-        *self.answers.entry((slot, epoch, owner)).or_insert(WitnessAnswer::NoGap)
+        let mark = self.marks.entry((slot, epoch, owner)).or_default();
+        mark.denied = true;
+        if mark.recorded { WitnessAnswer::Gap } else { WitnessAnswer::NoGap }
     }
 
     /// Forgets everything about `slot` before `epoch`; earlier epochs get no consent from now on.
@@ -56,7 +66,7 @@
             return;
         }
         self.floors.insert(slot, epoch);
-        self.answers.retain(|(known, at, _), _| *known != slot || *at >= epoch);
+        self.marks.retain(|(known, at, _), _| *known != slot || *at >= epoch);
     }
 
     fn floor(&self, slot: SlotId) -> u64 {
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -33,4 +33,4 @@
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use slot_id::{SlotId, slot_of};
 pub use slot_journal::{ClaimAnswer, CommitWrite, ConflictAnswer, JournalSettings, SlotJournal};
-pub use slot_record::{SlotRecord, SlotRecordWire};
+pub use slot_record::{Gap, SlotRecord, SlotRecordWire};
--- a/crates/parts/src/slot_journal.rs
+++ b/crates/parts/src/slot_journal.rs
@@ -2,14 +2,14 @@
 //!
 //! Every claim is a compare-and-swap on the slot's record, which also names the executor. A
 //! successor swaps the same record, so an executor that was replaced cannot commit another claim,
-//! however long it was paused. While the service does not answer, claims continue under an
-//! [`OutageConsent`] and are written when it returns.
+//! however long it was paused. While the service does not answer, claims continue for as long as
+//! every witness named in the record consents, and are written when it returns.
 
-use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 
-use crate::{KeyDigest, Member, Millis, OutageConsent, SlotRecord};
+use crate::{Gap, KeyDigest, Member, Millis, OutageConsent, SlotRecord};
 
 /// Bounds of a slot's journal.
 #[derive(Debug, Clone)]
@@ -18,11 +18,20 @@
     pub retention: Millis,
     /// The longest time for which a caller sends the same request again.
     pub patience: Millis,
+    /// How long after its last commit an executor may run calls outside its journal.
+    pub outage_max: Millis,
+    /// How often an idle slot's record is written, to begin that time anew.
+    pub refresh_every: Millis,
 }
 
 impl Default for JournalSettings {
     fn default() -> JournalSettings {
-        JournalSettings { retention: Millis(300_000), patience: Millis(60_000) }
+        JournalSettings {
+            retention: Millis(300_000),
+            patience: Millis(60_000),
+            outage_max: Millis(1_200_000),
+            refresh_every: Millis(300_000),
+        }
     }
 }
 
@@ -89,8 +98,10 @@
     pending: Vec<KeyDigest>,
     unjournaled: Vec<KeyDigest>,
     flight: Option<Flight>,
+    gap: Gap,
     gap_until: Option<Millis>,
-    consent: OutageConsent,
+    committed: Millis,
+    consents: BTreeMap<Member, OutageConsent>,
     witnesses: Vec<Member>,
     candidates: Vec<Member>,
     denied: bool,
@@ -123,16 +134,9 @@
         self.owned().map(|owned| owned.epoch)
     }
 
-    /// The peers that may witness a gap: those in every record that the service may hold now.
-    pub fn witnesses(&self) -> Vec<Member> {
-        let Some(owned) = self.owned() else {
-            return Vec::new();
-        };
-        let Some(flight) = &owned.flight else {
-            return owned.witnesses.clone();
-        };
-        let sent = &flight.write.record.witnesses;
-        owned.witnesses.iter().filter(|witness| sent.contains(witness)).cloned().collect()
+    /// The peers whose consent is needed: those in any record that the service may hold now.
+    pub fn witnesses(&self) -> BTreeSet<Member> {
+        self.owned().map(Owned::all_witnesses).unwrap_or_default()
     }
 
     /// The epochs of every record that the service may hold now.
@@ -195,20 +199,15 @@
 
     /// Prepares the write by which this daemon takes over the slot.
     ///
-    /// `current` is the record and version last read; `gapless` states that no call can have run
+    /// `current` is the record and version last read; `gap` states what is known of calls that ran
     /// outside it.
-    pub fn take_over(
-        &mut self,
-        current: Option<(SlotRecord, u64)>,
-        gapless: bool,
-        witnesses: Vec<Member>,
-    ) -> CommitWrite {
+    pub fn take_over(&mut self, current: Option<(SlotRecord, u64)>, gap: Gap, witnesses: Vec<Member>) -> CommitWrite {
         let (base, expected) = current.unwrap_or_default();
         let record = SlotRecord {
             owner: Some(self.me.clone()),
             epoch: base.epoch + 1,
             write: self.next_write(),
-            gap: base.gap || !gapless,
+            gap: base.gap.max(gap),
             witnesses,
             claims: base.claims,
         };
@@ -222,14 +221,20 @@
         let Role::Acquiring(write) = &self.role else {
             return;
         };
-        let window = self.settings.patience + OutageConsent::TTL;
         let record = &write.record;
+        let window = match record.gap {
+            Gap::None => None,
+            Gap::Witnessed => Some(self.settings.patience + OutageConsent::TTL),
+            Gap::Unwitnessed => Some(self.settings.patience + self.settings.outage_max),
+        };
         let claims = record.claims.iter().map(|key| (*key, Claim { origin: Origin::Inherited, at: now }));
         let owned = Owned {
             epoch: record.epoch,
             version,
             claims: claims.collect(),
-            gap_until: record.gap.then_some(now + window),
+            gap: record.gap,
+            gap_until: window.map(|window| now + window),
+            committed: now,
             witnesses: record.witnesses.clone(),
             candidates: record.witnesses.clone(),
             ..Owned::default()
@@ -262,6 +267,7 @@
 
     /// Asks to run the call with `key`.
     pub fn claim(&mut self, now: Millis, key: KeyDigest) -> ClaimAnswer {
+        let outage_max = self.settings.outage_max;
         let Some(owned) = self.owned_mut() else {
             return ClaimAnswer::NotOwner;
         };
@@ -277,7 +283,7 @@
         if owned.gap_until.is_some_and(|until| now < until) {
             return ClaimAnswer::Uncertain;
         }
-        if owned.consent.is_valid(now) {
+        if owned.may_run_unjournaled(now, outage_max) {
             owned.grant_unjournaled(now, key);
             return ClaimAnswer::Granted;
         }
@@ -307,8 +313,9 @@
     /// The next write to send, if one is due and none is in flight.
     pub fn next_commit(&mut self, now: Millis) -> Option<CommitWrite> {
         let retention = self.settings.retention;
+        let refresh_every = self.settings.refresh_every;
         let owned = self.owned_mut()?;
-        if owned.flight.is_some() || !owned.is_due(now) {
+        if owned.flight.is_some() || !owned.is_due(now, refresh_every) {
             return None;
         }
         owned.purge(now, retention);
@@ -348,13 +355,16 @@
         ConflictAnswer::Moved(keys)
     }
 
-    /// Records a witness's consent that was asked for at `sent`; returns the keys granted by it.
-    pub fn consented(&mut self, now: Millis, sent: Millis) -> Vec<KeyDigest> {
-        let Some(owned) = self.owned_mut() else {
+    /// Records the consent of `witness` that was asked for at `sent` up to epoch `through`; returns
+    /// the keys granted by it.
+    pub fn consented(&mut self, now: Millis, witness: &Member, sent: Millis, through: u64) -> Vec<KeyDigest> {
+        let outage_max = self.settings.outage_max;
+        let covered = self.gap_epochs().is_some_and(|epochs| through >= *epochs.end());
+        let Some(owned) = self.owned_mut().filter(|_| covered) else {
             return Vec::new();
         };
-        owned.consent.granted(sent);
-        if !owned.consent.is_valid(now) {
+        owned.consents.entry(witness.clone()).or_default().granted(sent);
+        if !owned.may_run_unjournaled(now, outage_max) {
             return Vec::new();
         }
         owned.grant_waiting(now)
@@ -386,16 +396,35 @@
         self.pending.contains(&key) || self.flight.as_ref().is_some_and(|flight| flight.keys.contains(&key))
     }
 
-    fn is_due(&self, now: Millis) -> bool {
+    /// The witnesses of every record that the service may hold; none if one of these names none,
+    /// for a successor that reads it has nobody to ask.
+    fn all_witnesses(&self) -> BTreeSet<Member> {
+        let sent = self.flight.as_ref().map(|flight| &flight.write.record.witnesses);
+        if self.witnesses.is_empty() || sent.is_some_and(Vec::is_empty) {
+            return BTreeSet::new();
+        }
+        self.witnesses.iter().chain(sent.into_iter().flatten()).cloned().collect()
+    }
+
+    /// Whether every witness consents, and the last commit is not too long ago.
+    fn may_run_unjournaled(&self, now: Millis, outage_max: Millis) -> bool {
+        let witnesses = self.all_witnesses();
+        let consents = |witness| self.consents.get(witness).is_some_and(|consent| consent.is_valid(now));
+        !witnesses.is_empty() && now < self.committed + outage_max && witnesses.iter().all(consents)
+    }
+
+    fn is_due(&self, now: Millis, refresh_every: Millis) -> bool {
         let gap_over = self.gap_until.is_some_and(|until| now >= until);
         let moved = self.candidates != self.witnesses;
-        gap_over || moved || self.denied || !self.pending.is_empty() || !self.unjournaled.is_empty()
+        let stale = now >= self.committed + refresh_every;
+        gap_over || moved || stale || self.denied || !self.pending.is_empty() || !self.unjournaled.is_empty()
     }
 
     fn purge(&mut self, now: Millis, retention: Millis) {
         self.claims.retain(|_, claim| now.since(claim.at) < retention);
         if self.gap_until.is_some_and(|until| now >= until) {
             self.gap_until = None;
+            self.gap = Gap::None;
         }
     }
 
@@ -404,13 +433,17 @@
         let catches_up = self.unjournaled.clone();
         let rises = self.denied || !catches_up.is_empty();
         self.denied = false;
+        if rises {
+            // A successor that reads the new epoch asks about that one.
+            self.consents.clear();
+        }
         let mut claims: Vec<KeyDigest> = self.claims.keys().copied().collect();
         claims.extend(&keys);
         let record = SlotRecord {
             owner,
             epoch: self.epoch + u64::from(rises),
             write,
-            gap: self.gap_until.is_some(),
+            gap: self.gap,
             witnesses: self.candidates.clone(),
             claims,
         };
@@ -423,12 +456,13 @@
         let Some(flight) = self.flight.take() else {
             return Vec::new();
         };
+        self.committed = flight.sent;
         self.version = version;
         self.epoch = flight.write.record.epoch;
         self.witnesses = flight.write.record.witnesses;
         self.unjournaled.retain(|key| !flight.catches_up.contains(key) && !flight.keys.contains(key));
         if self.unjournaled.is_empty() {
-            self.consent.end();
+            self.consents.clear();
         }
         let granted = flight.keys.into_iter().filter(|key| self.grant(now, *key));
         granted.collect()
--- a/crates/parts/src/slot_record.rs
+++ b/crates/parts/src/slot_record.rs
@@ -10,6 +10,19 @@
 
 const DIGEST_BYTES: usize = 16;
 
+/// What is known of calls that ran outside the record.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Gap {
+    /// None did.
+    #[default]
+    None,
+    /// Some may have, and a witness has ended the consent.
+    Witnessed,
+    /// Some may have, and no witness could be asked.
+    Unwitnessed,
+}
+
 /// Who executes a slot and which keys were claimed there.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SlotRecord {
@@ -20,20 +33,27 @@
     /// Identifies the write, so that its author recognizes it after a lost reply.
     pub write: u64,
     /// Whether calls may have run that `claims` does not hold.
-    pub gap: bool,
+    pub gap: Gap,
     /// The peers that may have witnessed a gap in this epoch.
     pub witnesses: Vec<Member>,
     /// The keys claimed within the retention.
     pub claims: Vec<KeyDigest>,
 }
 
+impl SlotRecord {
+    /// Whether the record proves that the call with `key` has not run, if read by its executor `me`.
+    pub fn attests(&self, me: &Member, key: KeyDigest) -> bool {
+        self.owner.as_ref() == Some(me) && self.gap == Gap::None && !self.claims.contains(&key)
+    }
+}
+
 /// The serialized form of a [`SlotRecord`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SlotRecordWire {
     owner: Option<Member>,
     epoch: u64,
     write: u64,
-    gap: bool,
+    gap: Gap,
     witnesses: Vec<Member>,
     claims: String,
 }
--- a/crates/policy/src/executor.rs
+++ b/crates/policy/src/executor.rs
@@ -6,11 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use teaselcroft_parts::{
-    ClaimAnswer, ConflictAnswer, GapWitness, Incarnation, JournalSettings, KeyDigest, Member, Membership, Millis,
+    ClaimAnswer, ConflictAnswer, Gap, GapWitness, Incarnation, JournalSettings, KeyDigest, Member, Membership, Millis,
     SlotId, SlotJournal, SlotRecord, WitnessAnswer, rank, winner,
 };
 
-use crate::executor_messages::{ExecutorAction, ReadResult, WriteResult};
+use crate::executor_messages::{ExecutorAction, ReadResult, RecordAnswer, WriteResult};
 
 /// Bounds of an executor.
 #[derive(Debug, Clone)]
@@ -41,7 +41,7 @@
     fn default() -> ExecutorSettings {
         ExecutorSettings {
             slots: 8,
-            witness_max: 4,
+            witness_max: 2,
             commit_every: Millis(15),
             outage_after: Millis(400),
             renew_every: Millis(1_500),
@@ -58,13 +58,12 @@
 enum Phase {
     Rest,
     Reading,
-    Asking { current: (SlotRecord, u64), waiting: BTreeSet<Member>, until: Millis },
+    Asking { current: (SlotRecord, u64), waiting: BTreeSet<Member>, until: Millis, gap: Gap },
     Acquiring,
 }
 
 #[derive(Debug, Clone)]
 struct Recording {
-    to: Member,
     sent: Millis,
     open: bool,
 }
@@ -79,7 +78,7 @@
     committed_at: Millis,
     write_out: bool,
     releasing: bool,
-    recording: Option<Recording>,
+    recordings: BTreeMap<Member, Recording>,
 }
 
 /// One daemon's part in executing calls that must not repeat.
@@ -106,7 +105,7 @@
             committed_at: Millis(0),
             write_out: false,
             releasing: false,
-            recording: None,
+            recordings: BTreeMap::new(),
         };
         let slots = (0..settings.slots).map(|slot| (SlotId(slot), control.clone())).collect();
         Executor {
@@ -219,9 +218,9 @@
         write.into_iter().chain(record).collect()
     }
 
-    /// The live peers to name as witnesses of `slot`.
+    /// The live peers to name as witnesses of `slot`: those that would take it over.
     fn candidates(&self, now: Millis, slot: SlotId, members: &Membership) -> Vec<Member> {
-        let subject = format!("witness/{slot}");
+        let subject = format!("slot/{slot}");
         let mut peers = members.live_peers(now);
         peers.sort_by_key(|peer| std::cmp::Reverse(rank(&subject, peer.name.as_str())));
         peers.truncate(self.settings.witness_max);
@@ -259,49 +258,45 @@
         self.commit(now, slot)
     }
 
-    /// Asks a witness for consent while a commit goes without a reply.
-    fn seek_consent(&mut self, now: Millis, slot: SlotId, members: &Membership) -> Option<ExecutorAction> {
+    /// Asks the witnesses for consent while a commit goes without a reply.
+    fn seek_consent(&mut self, now: Millis, slot: SlotId, members: &Membership) -> Vec<ExecutorAction> {
         let settings = &self.settings;
-        let control = self.slots.get_mut(&slot)?;
-        let sent = control.journal.flight_sent()?;
-        if control.releasing || now.since(sent) < settings.outage_after {
-            return None;
-        }
-        let last = control.recording.clone();
-        let wait =
-            if last.as_ref().is_some_and(|last| last.open) { settings.retry_after } else { settings.renew_every };
-        if last.as_ref().is_some_and(|last| now.since(last.sent) < wait) {
-            return None;
-        }
-        let witnesses = control.journal.witnesses();
-        let alive: Vec<&Member> = witnesses.iter().filter(|witness| members.is_alive(now, witness)).collect();
-        let failed = last.filter(|last| last.open).map(|last| last.to);
-        let other = alive.iter().find(|witness| Some(**witness) != failed.as_ref());
-        let to = (**other.or_else(|| alive.first())?).clone();
-        let epochs = control.journal.gap_epochs()?;
-        control.recording = Some(Recording { to: to.clone(), sent: now, open: true });
-        Some(ExecutorAction::Record { slot, epoch: *epochs.start(), through: *epochs.end(), to })
-    }
-
-    /// Takes in a witness's answer to `Record`; `None` if it could not be reached.
-    pub fn recorded(&mut self, now: Millis, slot: SlotId, from: &Member, agreed: Option<bool>) -> Vec<ExecutorAction> {
         let Some(control) = self.slots.get_mut(&slot) else {
             return Vec::new();
         };
-        let Some(recording) = control.recording.as_mut().filter(|recording| recording.to == *from) else {
+        let overdue = control.journal.flight_sent().is_some_and(|sent| now.since(sent) >= settings.outage_after);
+        let Some(epochs) = control.journal.gap_epochs().filter(|_| overdue && !control.releasing) else {
             return Vec::new();
         };
-        match agreed {
-            Some(true) => recording.open = false,
+        let witnesses = control.journal.witnesses();
+        let due = witnesses.into_iter().filter(|witness| {
+            let last = control.recordings.get(witness);
+            let wait = if last.is_some_and(|last| last.open) { settings.retry_after } else { settings.renew_every };
+            members.is_alive(now, witness) && last.is_none_or(|last| now.since(last.sent) >= wait)
+        });
+        let due: Vec<Member> = due.collect();
+        for to in &due {
+            control.recordings.insert(to.clone(), Recording { sent: now, open: true });
+        }
+        let (epoch, through) = (*epochs.start(), *epochs.end());
+        due.into_iter().map(|to| ExecutorAction::Record { slot, epoch, through, to, asked: now }).collect()
+    }
+
+    /// Takes in a witness's answer to `Record`.
+    pub fn recorded(&mut self, now: Millis, answer: &RecordAnswer) -> Vec<ExecutorAction> {
+        let Some(control) = self.slots.get_mut(&answer.slot) else {
+            return Vec::new();
+        };
+        match answer.agreed {
+            Some(true) => control.close_recording(&answer.from, answer.asked),
             Some(false) => {
                 control.journal.denied();
                 return Vec::new();
             }
             None => return Vec::new(),
         }
-        let sent = recording.sent;
-        let granted = control.journal.consented(now, sent);
-        runs(slot, granted)
+        let granted = control.journal.consented(now, &answer.from, answer.asked, answer.through);
+        runs(answer.slot, granted)
     }
 
     /// Begins to take over a slot whose executor is gone, if this daemon ranks first for it.
@@ -309,10 +304,11 @@
         let isolated = self.heard_any && self.heard_at != now && now.since(self.heard_at) < self.settings.isolated_for;
         let preferred = !isolated && self.is_preferred(now, slot, members);
         let control = self.slots.get_mut(&slot)?;
-        if let Phase::Asking { until, .. } = &control.phase
+        if let Phase::Asking { until, gap, .. } = &control.phase
             && now >= *until
         {
-            return self.take_over(now, slot, false, members);
+            let gap = *gap;
+            return self.take_over(now, slot, gap, members);
         }
         let resting = matches!(control.phase, Phase::Rest);
         let alive = control.owner.as_ref().is_some_and(|owner| members.is_alive(now, owner));
@@ -362,14 +358,14 @@
         let until = now + self.settings.ask_for;
         let foreign = owner.filter(|owner| *owner != me);
         let record = current.0.clone();
-        control.phase = Phase::Asking { current, waiting: BTreeSet::new(), until };
+        control.phase = Phase::Asking { current, waiting: BTreeSet::new(), until, gap: Gap::Unwitnessed };
         match foreign {
             Some(owner) => self.ask_witnesses(now, slot, &record, &owner, members),
-            None => self.take_over(now, slot, true, members).into_iter().collect(),
+            None => self.take_over(now, slot, Gap::None, members).into_iter().collect(),
         }
     }
 
-    /// Asks every witness in the record; one that cannot answer counts as a gap.
+    /// Asks the witnesses in the record; the first that knows of no gap settles it.
     fn ask_witnesses(
         &mut self,
         now: Millis,
@@ -379,22 +375,22 @@
         members: &Membership,
     ) -> Vec<ExecutorAction> {
         let others: BTreeSet<Member> = record.witnesses.iter().filter(|peer| **peer != self.me).cloned().collect();
-        let own_gap = others.len() < record.witnesses.len() && self.ask_gap(slot, record.epoch, owner.incarnation);
-        let lost = others.iter().any(|peer| !members.is_alive(now, peer));
-        if own_gap || lost || others.is_empty() {
-            let gapless = !own_gap && !lost;
-            return self.take_over(now, slot, gapless, members).into_iter().collect();
-        }
-        if let Some(Control { phase: Phase::Asking { waiting, .. }, .. }) = self.slots.get_mut(&slot) {
-            waiting.clone_from(&others);
-        }
-        let asks = others.into_iter().map(|to| ExecutorAction::Ask {
-            slot,
-            epoch: record.epoch,
-            owner: owner.incarnation,
-            to,
-        });
-        asks.collect()
+        let is_witness = others.len() < record.witnesses.len();
+        let own_gap = is_witness && self.ask_gap(slot, record.epoch, owner.incarnation);
+        if record.witnesses.is_empty() || (is_witness && !own_gap) {
+            return self.take_over(now, slot, Gap::None, members).into_iter().collect();
+        }
+        let known = if own_gap { Gap::Witnessed } else { Gap::Unwitnessed };
+        let alive: BTreeSet<Member> = others.into_iter().filter(|peer| members.is_alive(now, peer)).collect();
+        if alive.is_empty() {
+            return self.take_over(now, slot, known, members).into_iter().collect();
+        }
+        if let Some(Control { phase: Phase::Asking { waiting, gap, .. }, .. }) = self.slots.get_mut(&slot) {
+            waiting.clone_from(&alive);
+            *gap = known;
+        }
+        let (epoch, owner) = (record.epoch, owner.incarnation);
+        alive.into_iter().map(|to| ExecutorAction::Ask { slot, epoch, owner, to }).collect()
     }
 
     /// Takes in a witness's answer to `Ask`; `None` if it could not be reached.
@@ -403,30 +399,35 @@
         now: Millis,
         slot: SlotId,
         from: &Member,
-        gap: Option<bool>,
+        had_gap: Option<bool>,
         members: &Membership,
     ) -> Vec<ExecutorAction> {
-        let Some(Control { phase: Phase::Asking { waiting, .. }, .. }) = self.slots.get_mut(&slot) else {
+        let Some(Control { phase: Phase::Asking { waiting, gap, .. }, .. }) = self.slots.get_mut(&slot) else {
             return Vec::new();
         };
         if !waiting.remove(from) {
             return Vec::new();
         }
-        let gapless = gap == Some(false);
-        if gapless && !waiting.is_empty() {
+        match had_gap {
+            Some(false) => *gap = Gap::None,
+            Some(true) => *gap = Gap::Witnessed.min(*gap),
+            None => {}
+        }
+        let settled = *gap;
+        if settled != Gap::None && !waiting.is_empty() {
             return Vec::new();
         }
-        self.take_over(now, slot, gapless, members).into_iter().collect()
+        self.take_over(now, slot, settled, members).into_iter().collect()
     }
 
-    fn take_over(&mut self, now: Millis, slot: SlotId, gapless: bool, members: &Membership) -> Option<ExecutorAction> {
+    fn take_over(&mut self, now: Millis, slot: SlotId, gap: Gap, members: &Membership) -> Option<ExecutorAction> {
         let candidates = self.candidates(now, slot, members);
         let control = self.slots.get_mut(&slot)?;
         let Phase::Asking { current, .. } = std::mem::replace(&mut control.phase, Phase::Acquiring) else {
             return None;
         };
         let current = (current.1 > 0).then_some(current);
-        let write = control.journal.take_over(current, gapless, candidates);
+        let write = control.journal.take_over(current, gap, candidates);
         control.write_out = true;
         Some(ExecutorAction::Write { slot, write })
     }
@@ -452,6 +453,13 @@
 }
 
 impl Control {
+    fn close_recording(&mut self, witness: &Member, asked: Millis) {
+        let recording = self.recordings.get_mut(witness).filter(|recording| recording.sent == asked);
+        if let Some(recording) = recording {
+            recording.open = false;
+        }
+    }
+
     fn acquire_done(&mut self, now: Millis, slot: SlotId, result: WriteResult, me: &Member) -> Vec<ExecutorAction> {
         self.phase = Phase::Rest;
         match result {
@@ -470,7 +478,7 @@
         let epoch = self.journal.epoch().unwrap_or_default();
         self.owner = Some(me.clone());
         self.epoch = epoch;
-        self.recording = None;
+        self.recordings.clear();
         vec![ExecutorAction::Owns { slot, epoch, gap: self.journal.has_gap(now) }]
     }
 
--- a/crates/policy/src/executor_messages.rs
+++ b/crates/policy/src/executor_messages.rs
@@ -1,6 +1,6 @@
 //! What passes between an executor and its driver.
 
-use teaselcroft_parts::{CommitWrite, Incarnation, KeyDigest, Member, SlotId, SlotRecord};
+use teaselcroft_parts::{CommitWrite, Incarnation, KeyDigest, Member, Millis, SlotId, SlotRecord};
 
 /// What the driver has to do for an executor.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +27,8 @@
         through: u64,
         /// The peer.
         to: Member,
+        /// When it is asked, to be given back with the answer.
+        asked: Millis,
     },
     /// Ask a peer whether another executor's journal has a gap.
     Ask {
@@ -69,6 +71,21 @@
     },
 }
 
+/// A witness's answer to [`ExecutorAction::Record`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordAnswer {
+    /// The slot.
+    pub slot: SlotId,
+    /// The witness.
+    pub from: Member,
+    /// The last epoch that was asked for.
+    pub through: u64,
+    /// When it was asked.
+    pub asked: Millis,
+    /// Its answer, or `None` if it could not be reached.
+    pub agreed: Option<bool>,
+}
+
 /// The answer to a read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadResult {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,7 +28,7 @@
 pub use dispatch_settings::DispatchSettings;
 pub use dispatcher::{DispatchAction, DispatchStats, Dispatcher, PlaceKey};
 pub use executor::{Executor, ExecutorSettings};
-pub use executor_messages::{ExecutorAction, ReadResult, WriteResult};
+pub use executor_messages::{ExecutorAction, ReadResult, RecordAnswer, WriteResult};
 pub use fair_queue::FairQueue;
 pub use hold_times::HoldTimes;
 pub use outcome::{EndKind, Outcome};
--- a/crates/policy/src/result_code.rs
+++ b/crates/policy/src/result_code.rs
@@ -85,12 +85,14 @@
     Stopping = 2003, 503, NotRun, "this daemon is stopping; ask for addresses again";
     /// The request crashed its runners.
     Condemned = 2004, 422, MayHaveRun, "this request crashed each runner that ran it; do not send it again";
-    /// The call's executor is not known yet.
-    NoExecutor = 2005, 503, MayHaveRun, "the executor of this call is being replaced; send it again with the same key";
+    /// The call's executor is not known or not confirmed.
+    NoExecutor = 2005, 503, MayHaveRun, "the executor of this call is not confirmed; send it again with the same key";
     /// No configuration is in force yet.
     NoConfiguration = 2006, 503, NotRun, "no configuration is in force yet; send the request again shortly";
     /// The upstream refused the call without running it.
     UpstreamRefused = 2007, 502, NotRun, "the upstream refused the call without running it; send it again later";
+    /// Another daemon executes the call's slot; daemons retry this among themselves.
+    SlotMoved = 2008, 503, MayHaveRun, "another daemon executes this call now; send it again with the same key";
     /// An earlier executor claimed the call.
     ClaimedBefore = 3001, 409, MayHaveRun, "this call was begun before and its outcome is not known; read it back before sending it anew";
     /// The upstream's reply was lost.
--- a/crates/router/src/api.rs
+++ b/crates/router/src/api.rs
@@ -111,7 +111,7 @@
     target: Target,
 ) -> Response {
     if node.is_stopping() {
-        return close(reply::refusal(ResultCode::Stopping, Millis(1)));
+        return close(reply::refusal(stopping_code(&node, &target), Millis(1)));
     }
     let Some(customer) = customer_of(&node, &request) else {
         return close(reply::refusal(ResultCode::BadKey, Millis(0)));
@@ -143,6 +143,17 @@
     work.or(gone).await
 }
 
+/// An earlier sending of a call that must not repeat may have run elsewhere.
+fn stopping_code<P: Platform>(node: &Node<P>, target: &Target) -> ResultCode {
+    let Target::Service(class) = target else {
+        return ResultCode::Stopping;
+    };
+    let class = class.parse().ok();
+    let never_repeat =
+        class.is_some_and(|class| node.view().classes.rule(&class).is_some_and(|rule| rule.never_repeat));
+    if never_repeat { ResultCode::NoExecutor } else { ResultCode::Stopping }
+}
+
 fn close(mut response: Response) -> Response {
     response.insert_header("connection", "close");
     response
--- a/crates/router/src/command.rs
+++ b/crates/router/src/command.rs
@@ -4,7 +4,7 @@
 use teaselcroft_parts::{
     ConfigValue, DaemonName, Incarnation, KeyDigest, Member, ModelName, RunnerName, SlotId, TeamName,
 };
-use teaselcroft_policy::{Outcome, PlaceKey, ReadResult, WriteResult};
+use teaselcroft_policy::{Outcome, PlaceKey, ReadResult, RecordAnswer, WriteResult};
 
 use crate::engine::ReportWire;
 use crate::place_event::PlaceEvent;
@@ -108,14 +108,7 @@
         result: WriteResult,
     },
     /// A witness answered whether it records a gap.
-    GapRecorded {
-        /// The slot.
-        slot: SlotId,
-        /// The witness.
-        from: Member,
-        /// Its answer, or `None` if it could not be reached.
-        agreed: Option<bool>,
-    },
+    GapRecorded(RecordAnswer),
     /// A witness answered whether there was a gap.
     GapAnswered {
         /// The slot.
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -29,6 +29,7 @@
 pub use self::configs::watch_configs;
 pub use self::peers::read_vm_list;
 use self::shards::Shard;
+pub use self::slots::slot_attests;
 
 const TICK: Duration = Duration::from_millis(20);
 const SHARD_TICK: Millis = Millis(100);
@@ -157,7 +158,7 @@
             Command::CancelClaim { slot, key, answer } => self.cancel_claim(slot, key, &answer),
             Command::SlotRead { slot, result } => self.slot_read(slot, result),
             Command::SlotWritten { slot, result } => self.slot_written(slot, result),
-            Command::GapRecorded { slot, from, agreed } => self.gap_recorded(slot, &from, agreed),
+            Command::GapRecorded(answer) => self.gap_recorded(&answer),
             Command::GapAnswered { slot, from, gap } => self.gap_answered(slot, &from, gap),
             Command::Witness { slot, epoch, through, owner, record, answer } => {
                 let reply = match record {
--- a/crates/router/src/control/io.rs
+++ b/crates/router/src/control/io.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use teaselcroft_parts::{ConfigValue, DaemonName, Incarnation, Member, SlotId, TeamName};
+use teaselcroft_parts::{ConfigValue, DaemonName, Member, TeamName};
 
 use crate::generated::{PullConfigRequest, WitnessRequest};
 use crate::http_client::within;
@@ -13,16 +13,7 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Asks a witness; `None` if that very incarnation does not answer.
-pub async fn ask_witness<P: Platform>(
-    node: &Node<P>,
-    slot: SlotId,
-    epoch: u64,
-    through: u64,
-    owner: Incarnation,
-    to: &Member,
-    record: bool,
-) -> Option<bool> {
-    let request = WitnessRequest { slot: slot.0, epoch, through, owner: owner.0, record };
+pub async fn ask_witness<P: Platform>(node: &Node<P>, request: WitnessRequest, to: &Member) -> Option<bool> {
     let ask = async {
         let mut client = node.client(&to.name).await.ok()?;
         let reply = client.witness(request).await.ok()?.into_inner();
--- a/crates/router/src/control/slots.rs
+++ b/crates/router/src/control/slots.rs
@@ -1,12 +1,16 @@
 //! Execution of calls that must not repeat.
 
 use async_channel::Sender;
-use teaselcroft_parts::{ClaimAnswer, CommitWrite, Incarnation, KeyDigest, Member, SlotId, SlotRecord, SlotRecordWire};
-use teaselcroft_policy::{ExecutorAction, ReadResult, WriteResult};
+use teaselcroft_parts::{
+    ClaimAnswer, CommitWrite, Incarnation, KeyDigest, Member, Millis, SlotId, SlotRecord, SlotRecordWire,
+};
+use teaselcroft_policy::{ExecutorAction, ReadResult, RecordAnswer, WriteResult};
 
 use super::{Control, io};
 use crate::command::{Claimed, Command};
+use crate::generated::WitnessRequest;
 use crate::kv::{Stored, SwapAnswer};
+use crate::node::Node;
 use crate::platform::Platform;
 use crate::{Event, emit};
 
@@ -19,6 +23,14 @@
     Some((wire.try_into().ok()?, stored.version))
 }
 
+/// Whether the key-value service proves that this daemon executes `slot` and that the call with
+/// `key` has not run.
+pub async fn slot_attests<P: Platform>(node: &Node<P>, slot: SlotId, key: KeyDigest) -> bool {
+    let stored = node.store_get(&slot_key(&node.settings.cell, slot)).await;
+    let record = stored.ok().flatten().as_ref().and_then(decode);
+    record.is_some_and(|(record, _)| record.attests(&node.me, key))
+}
+
 impl<P: Platform> Control<P> {
     pub(super) fn claim(&mut self, slot: SlotId, key: KeyDigest, answer: Sender<Claimed>) {
         let now = self.now();
@@ -58,12 +70,12 @@
         self.act_on_slots(actions);
     }
 
-    pub(super) fn gap_recorded(&mut self, slot: SlotId, from: &Member, agreed: Option<bool>) {
+    pub(super) fn gap_recorded(&mut self, answer: &RecordAnswer) {
         let now = self.now();
-        if agreed == Some(true) {
-            emit!(Event::OutageConsent, daemon = self.node.me.name, slot = slot, witness = from);
+        if answer.agreed == Some(true) {
+            emit!(Event::OutageConsent, daemon = self.node.me.name, slot = answer.slot, witness = answer.from);
         }
-        let actions = self.slots.recorded(now, slot, from, agreed);
+        let actions = self.slots.recorded(now, answer);
         self.act_on_slots(actions);
     }
 
@@ -78,12 +90,10 @@
             match action {
                 ExecutorAction::Read { slot } => self.read_slot(slot),
                 ExecutorAction::Write { slot, write } => self.write_slot(slot, write),
-                ExecutorAction::Record { slot, epoch, through, to } => {
-                    self.ask_witness(slot, epoch, through, self.node.me.incarnation, to, true);
-                }
-                ExecutorAction::Ask { slot, epoch, owner, to } => {
-                    self.ask_witness(slot, epoch, epoch, owner, to, false);
+                ExecutorAction::Record { slot, epoch, through, to, asked } => {
+                    self.record_gap(slot, epoch, through, to, asked);
                 }
+                ExecutorAction::Ask { slot, epoch, owner, to } => self.ask_gap(slot, epoch, owner, to),
                 ExecutorAction::Run { key, .. } => self.answer_claims(key, Claimed::Run),
                 ExecutorAction::Moved { key, .. } => self.answer_claims(key, Claimed::Moved),
                 ExecutorAction::Owns { slot, epoch, gap } => {
@@ -137,15 +147,22 @@
         self.tasks.spawn(swap).detach();
     }
 
-    fn ask_witness(&self, slot: SlotId, epoch: u64, through: u64, owner: Incarnation, to: Member, record: bool) {
+    fn record_gap(&self, slot: SlotId, epoch: u64, through: u64, to: Member, asked: Millis) {
+        let node = self.node.clone();
+        let request = WitnessRequest { slot: slot.0, epoch, through, owner: node.me.incarnation.0, record: true };
+        let record = async move {
+            let agreed = io::ask_witness(&node, request, &to).await;
+            node.tell(Command::GapRecorded(RecordAnswer { slot, from: to, through, asked, agreed }));
+        };
+        self.tasks.spawn(record).detach();
+    }
+
+    fn ask_gap(&self, slot: SlotId, epoch: u64, owner: Incarnation, to: Member) {
         let node = self.node.clone();
+        let request = WitnessRequest { slot: slot.0, epoch, through: epoch, owner: owner.0, record: false };
         let ask = async move {
-            let answer = io::ask_witness(&node, slot, epoch, through, owner, &to, record).await;
-            let command = match record {
-                true => Command::GapRecorded { slot, from: to, agreed: answer },
-                false => Command::GapAnswered { slot, from: to, gap: answer },
-            };
-            node.tell(command);
+            let gap = io::ask_witness(&node, request, &to).await;
+            node.tell(Command::GapAnswered { slot, from: to, gap });
         };
         self.tasks.spawn(ask).detach();
     }
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -6,11 +6,12 @@
 
 use async_channel::bounded;
 use teaselcroft_parts::{ClassName, CustomerName, Fingerprint, KeyDigest, Millis, RequestId, SlotId, slot_of};
-use teaselcroft_policy::{ClassRule, EndKind, Outcome, ResultCode};
+use teaselcroft_policy::{ClassRule, EndKind, Outcome, Ran, ResultCode};
 
 use crate::Event;
 use crate::call_table::{Admission, CallOutcome};
 use crate::command::{Claimed, Command};
+use crate::control::slot_attests;
 use crate::generated::{ExecuteRequest, HandoverRequest};
 use crate::http_client::{HttpError, within};
 use crate::node::Node;
@@ -98,7 +99,7 @@
 
 /// A call whose slot moved is not this daemon's to answer.
 fn unless_moved(outcome: CallOutcome) -> Option<CallOutcome> {
-    (outcome.code != ResultCode::NoExecutor).then_some(outcome)
+    (outcome.code != ResultCode::SlotMoved).then_some(outcome)
 }
 
 /// One run of a call, independent of who waits for it.
@@ -112,11 +113,24 @@
 impl<P: Platform> Run<'_, P> {
     async fn finish(mut self) {
         let outcome = self.outcome().await;
+        let outcome = self.confirmed(outcome).await;
         let now = self.node.clock.now();
         self.node.calls.finish(now, self.key, self.claimed, outcome.clone());
         self.hand_over_late(outcome).await;
     }
 
+    /// Lets "not run" stand only if the slot's record proves it: another executor may have run the
+    /// call without this one knowing that it was replaced.
+    async fn confirmed(&self, outcome: CallOutcome) -> CallOutcome {
+        if outcome.code.ran() != Ran::NotRun || self.claimed {
+            return outcome;
+        }
+        if slot_attests(self.node, self.slot(), self.key).await {
+            return outcome;
+        }
+        CallOutcome { code: ResultCode::NoExecutor, ..outcome }
+    }
+
     fn slot(&self) -> SlotId {
         slot_of(self.key, self.node.settings.limits.slots)
     }
@@ -215,7 +229,7 @@
                 self.claimed = true;
                 Ok(())
             }
-            Claimed::Moved => Err(CallOutcome::bare(ResultCode::NoExecutor)),
+            Claimed::Moved => Err(CallOutcome::bare(ResultCode::SlotMoved)),
             Claimed::Repeated | Claimed::Inherited => Err(CallOutcome::bare(ResultCode::ClaimedBefore)),
             Claimed::Uncertain => Err(CallOutcome::bare(ResultCode::JournalGap)),
         }
