Wait in doubt before taking over a slot; leave executors and dispatchers that went silent

Cause: daemons that start together read a slot's record before they have heard its executor, took it for dead and took over with the long gap window, in which every unknown key may have run. A call sent to a paused executor waited for it to go on. Ruled out: loss at the stand-ins (the ledger has no run for these keys), overload (no refusal). Change: an executor that was never heard, or whose witnesses are all out of reach, is left alone for 10 s; a call or a place leaves its executor or dispatcher as soon as another is known.

--- a/crates/policy/src/executor.rs
+++ b/crates/policy/src/executor.rs
@@ -7,7 +7,7 @@
 
 use teaselcroft_parts::{
     ClaimAnswer, ConflictAnswer, Gap, GapWitness, Incarnation, JournalSettings, KeyDigest, Member, Membership, Millis,
-    SlotId, SlotJournal, SlotRecord, WitnessAnswer, rank, winner,
+    PeerHealth, SlotId, SlotJournal, SlotRecord, WitnessAnswer, rank, winner,
 };
 
 use crate::executor_messages::{ExecutorAction, ReadResult, RecordAnswer, WriteResult};
@@ -31,6 +31,8 @@
     pub ask_for: Millis,
     /// How long a new daemon listens before it takes over any slot.
     pub listen_for: Millis,
+    /// How long to wait for an executor that was never heard, or for any witness of one that died.
+    pub doubt_for: Millis,
     /// How long a daemon that hears no peer, though it did, waits before it takes over any slot.
     pub isolated_for: Millis,
     /// Bounds of each slot's journal.
@@ -47,7 +49,8 @@
             renew_every: Millis(1_500),
             retry_after: Millis(250),
             ask_for: Millis(400),
-            listen_for: Millis(1_000),
+            listen_for: Millis(2_000),
+            doubt_for: Millis(10_000),
             isolated_for: Millis(30_000),
             journal: JournalSettings::default(),
         }
@@ -79,6 +82,7 @@
     write_out: bool,
     releasing: bool,
     recordings: BTreeMap<Member, Recording>,
+    doubted_at: Option<Millis>,
 }
 
 /// One daemon's part in executing calls that must not repeat.
@@ -106,6 +110,7 @@
             write_out: false,
             releasing: false,
             recordings: BTreeMap::new(),
+            doubted_at: None,
         };
         let slots = (0..settings.slots).map(|slot| (SlotId(slot), control.clone())).collect();
         Executor {
@@ -342,17 +347,22 @@
             return Vec::new();
         }
         let ReadResult::Found(found) = result else {
-            control.phase = Phase::Rest;
-            control.retry_at = now + retry_after;
+            control.rest(now + retry_after);
             return Vec::new();
         };
         let current = found.unwrap_or_default();
         let owner = current.0.owner.clone();
         control.epoch = control.epoch.max(current.0.epoch);
-        if let Some(owner) = owner.as_ref().filter(|owner| **owner != me && members.is_alive(now, owner)) {
+        let others = owner.as_ref().filter(|owner| **owner != me);
+        if let Some(owner) = others.filter(|owner| members.is_alive(now, owner)) {
             control.owner = Some(owner.clone());
-            control.phase = Phase::Rest;
-            control.retry_at = now + retry_after;
+            control.rest(now + retry_after);
+            control.doubted_at = None;
+            return Vec::new();
+        }
+        let unheard = others.is_some_and(|owner| members.health(now, &owner.name) == PeerHealth::Unknown);
+        if unheard && control.in_doubt(now, self.settings.doubt_for) {
+            control.rest(now + retry_after);
             return Vec::new();
         }
         let until = now + self.settings.ask_for;
@@ -422,7 +432,13 @@
 
     fn take_over(&mut self, now: Millis, slot: SlotId, gap: Gap, members: &Membership) -> Option<ExecutorAction> {
         let candidates = self.candidates(now, slot, members);
+        let settings = &self.settings;
         let control = self.slots.get_mut(&slot)?;
+        if gap == Gap::Unwitnessed && control.in_doubt(now, settings.doubt_for) {
+            control.rest(now + settings.retry_after);
+            return None;
+        }
+        control.doubted_at = None;
         let Phase::Asking { current, .. } = std::mem::replace(&mut control.phase, Phase::Acquiring) else {
             return None;
         };
@@ -453,6 +469,17 @@
 }
 
 impl Control {
+    fn rest(&mut self, until: Millis) {
+        self.phase = Phase::Rest;
+        self.retry_at = until;
+    }
+
+    /// Whether a doubt about the executor is younger than `limit`.
+    fn in_doubt(&mut self, now: Millis, limit: Millis) -> bool {
+        let since = *self.doubted_at.get_or_insert(now);
+        now.since(since) < limit
+    }
+
     fn close_recording(&mut self, witness: &Member, asked: Millis) {
         let recording = self.recordings.get_mut(witness).filter(|recording| recording.sent == asked);
         if let Some(recording) = recording {
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender, bounded};
+use futures_lite::FutureExt;
 use futures_util::{StreamExt, stream};
 use smol::Timer;
+use teaselcroft_parts::{DaemonName, ModelName};
 use teaselcroft_policy::Outcome;
 
 use crate::command::Command;
-use crate::generated::DispatchUp;
+use crate::generated::{DispatchDown, DispatchUp};
 use crate::node::Node;
 use crate::place_event::PlaceEvent;
 use crate::place_request::{PlaceRequest, outcome_to_wire};
@@ -17,6 +19,9 @@
 
 const PLACE_EVENTS: usize = 4;
 
+/// How often a place looks whether its dispatcher was replaced.
+const DISPATCHER_CHECK: Duration = Duration::from_millis(100);
+
 /// How long to wait before the next dispatcher is asked.
 const REOPEN: Duration = Duration::from_millis(30);
 
@@ -82,13 +87,18 @@
     let Ok(mut client) = node.client(&dispatcher).await else {
         return;
     };
+    let upstream = request.upstream.clone();
     let enter: DispatchUp = request.into();
     let ups = stream::once(async { enter }).chain(ends.map(outcome_to_wire));
     let Ok(reply) = client.dispatch(ups).await else {
         return;
     };
     let mut downs = reply.into_inner();
-    while let Ok(Some(down)) = downs.message().await {
+    loop {
+        let next = async { downs.message().await.ok().flatten() };
+        let Some(down) = next.or(replaced(&node, &upstream, &dispatcher)).await else {
+            return;
+        };
         let Ok(event) = PlaceEvent::try_from(down) else {
             return;
         };
@@ -97,3 +107,11 @@
         }
     }
 }
+
+/// Returns once another daemon dispatches `upstream`, or its dispatcher counts as dead.
+async fn replaced<P: Platform>(node: &Node<P>, upstream: &ModelName, dispatcher: &DaemonName) -> Option<DispatchDown> {
+    while node.view().dispatchers.get(upstream) == Some(dispatcher) {
+        Timer::after(DISPATCHER_CHECK).await;
+    }
+    None
+}
--- a/crates/router/src/service_api.rs
+++ b/crates/router/src/service_api.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use http_types::{Response, StatusCode};
-use teaselcroft_parts::{ClassName, CustomerName, DaemonName, Fingerprint, Millis, RequestId, slot_of};
+use teaselcroft_parts::{ClassName, CustomerName, DaemonName, Fingerprint, Member, Millis, RequestId, SlotId, slot_of};
 use teaselcroft_policy::{ClassRule, EndKind, Outcome, ResultCode, UpstreamKind};
 
 use crate::Event;
@@ -21,6 +22,7 @@
 use crate::platform::Platform;
 use crate::reply;
 
+const EXECUTOR_CHECK: Duration = Duration::from_millis(100);
 const EXECUTOR_RETRY: Duration = Duration::from_millis(50);
 const SHORTEST_READ: Millis = Millis(1_000);
 
@@ -98,7 +100,8 @@
             let outcome = if executor == node.me {
                 within(left.into(), None, execute(node, call.clone())).await
             } else {
-                within(left.into(), None, execute_at(node, &executor.name, call.clone())).await
+                let reply = execute_at(node, &executor.name, call.clone());
+                within(left.into(), None, reply.or(replaced(node, slot, &executor))).await
             };
             if let Some(outcome) = outcome {
                 return outcome;
@@ -108,6 +111,14 @@
     }
 }
 
+/// Returns once another daemon, or none, is known to execute `slot`.
+async fn replaced<P: Platform>(node: &Node<P>, slot: SlotId, executor: &Member) -> Option<CallOutcome> {
+    while node.view().executors.get(&slot) == Some(executor) {
+        smol::Timer::after(EXECUTOR_CHECK).await;
+    }
+    None
+}
+
 async fn execute_at<P: Platform>(node: &Node<P>, executor: &DaemonName, call: Call) -> Option<CallOutcome> {
     let mut client = node.client(executor).await.ok()?;
     let reply = client.execute(ExecuteRequest::from(call)).await;
--- a/crates/standins/src/judge.rs
+++ b/crates/standins/src/judge.rs
@@ -223,12 +223,20 @@
     }
 }
 
+/// Of all that revised the same revision, exactly one may win; while some were told that nobody
+/// knows, at most one.
 fn races_have_one_winner(played: &Played, case: &mut Case) {
+    let mut by_base: BTreeMap<(&str, u64), Vec<Told>> = BTreeMap::new();
     for race in &played.races {
-        let winners = race.told.iter().filter(|told| matches!(told, Told::Accepted(_))).count();
-        let known = !race.told.contains(&Told::Unknown);
+        if let Some(base) = race.base {
+            by_base.entry((race.team.as_str(), base)).or_default().extend(&race.told);
+        }
+    }
+    for ((team, base), told) in by_base {
+        let winners = told.iter().filter(|told| matches!(told, Told::Accepted(_))).count();
+        let known = !told.contains(&Told::Unknown);
         let fits = if known { winners == 1 } else { winners <= 1 };
-        case.check(fits, || format!("the race for {} had {winners} winners: {:?}", race.team, race.told));
+        case.check(fits, || format!("revision {base} of {team} was revised by {winners} winners: {told:?}"));
     }
 }
 
--- a/crates/standins/src/operator.rs
+++ b/crates/standins/src/operator.rs
@@ -12,6 +12,7 @@
 use crate::fleet::OPERATOR_KEY;
 
 const APPLY_TIMEOUT: Millis = Millis(60_000);
+const SHOW_TIMEOUT: Millis = Millis(2_000);
 const TRY_AGAIN: Duration = Duration::from_millis(100);
 const CREATE_TRIES: u32 = 100;
 
@@ -35,6 +36,8 @@
     pub ended_ms: u64,
     /// The team.
     pub team: String,
+    /// The revision that was revised, if it could be read.
+    pub base: Option<u64>,
     /// What each operator was told.
     pub told: Vec<Told>,
 }
@@ -76,7 +79,8 @@
 
 /// Reads a team's questionnaire and revision.
 async fn show(address: &str, team: &str) -> Option<(u64, Value)> {
-    let reply = admin(Method::Get, address, format!("/admin/teams/{team}"), Vec::new()).send().await.ok()?;
+    let call = admin(Method::Get, address, format!("/admin/teams/{team}"), Vec::new());
+    let reply = HttpCall { timeout: SHOW_TIMEOUT, ..call }.send().await.ok()?;
     let config: Value = serde_json::from_slice(&reply.body).ok()?;
     Some((config["revision"].as_u64()?, config["questionnaire"].clone()))
 }
--- a/crates/standins/src/playback.rs
+++ b/crates/standins/src/playback.rs
@@ -330,7 +330,7 @@
         let addresses = self.addresses();
         let Some((base, questionnaire)) = operator::show_any(&addresses, &team).await else {
             let told = vec![Told::Unknown; racers];
-            self.note_race(team, told);
+            self.note_race(team, None, told);
             return;
         };
         let revised = operator::revise(questionnaire, &set);
@@ -344,11 +344,11 @@
         for submission in submissions {
             told.push(submission.await);
         }
-        self.note_race(team, told);
+        self.note_race(team, Some(base), told);
     }
 
-    fn note_race(&self, team: String, told: Vec<Told>) {
-        let race = Race { ended_ms: self.world.now_ms(), team, told };
+    fn note_race(&self, team: String, base: Option<u64>, told: Vec<Told>) {
+        let race = Race { ended_ms: self.world.now_ms(), team, base, told };
         self.races.lock().unwrap_or_else(PoisonError::into_inner).push(race);
     }
 }
--- /dev/null
+++ b/crates/standins/src/scenarios.rs
@@ -0,0 +1,173 @@
+//! The traces kept in the repository: one for each kind of failure.
+
+use serde_json::json;
+
+use crate::Site;
+use crate::generator::{GeneratorSettings, add_event, add_resends, demo_trace, generate};
+use crate::trace::{EventKind, Trace, TraceRequest};
+
+/// A named trace.
+pub struct Scenario {
+    /// The name of its file, without the ending.
+    pub name: &'static str,
+    /// The trace.
+    pub trace: Trace,
+}
+
+fn base(site: Site, seed: u64, load_percent: u64, burst_percent: u64) -> Trace {
+    let settings = GeneratorSettings { site, seed, load_percent, burst_percent, span_ms: 25_000, ..Default::default() };
+    let mut trace = generate(&settings);
+    add_resends(&mut trace, 8, 2_000);
+    trace
+}
+
+fn with(mut trace: Trace, events: Vec<(u64, EventKind)>) -> Trace {
+    for (at_ms, kind) in events {
+        add_event(&mut trace, at_ms, kind);
+    }
+    trace
+}
+
+fn named(name: &str) -> String {
+    name.to_owned()
+}
+
+fn runner_leaves() -> Trace {
+    let leaving = |number| EventKind::RunnerLeaving { target: format!("assistant-{number:02}") };
+    let service = EventKind::RunnerLeaving { target: named("compost-02") };
+    with(base(Site::Reservoir, 11, 50, 200), vec![(4_000, leaving(2)), (5_000, leaving(9)), (6_000, service)])
+}
+
+fn store_down() -> Trace {
+    let set = json!({ "quick-question": { "target_ms": 4_500 } });
+    let set = set.as_object().cloned().unwrap_or_default();
+    let revised = EventKind::QuestionnaireRevised { team: named("harvest"), set, racers: 4 };
+    with(base(Site::Reservoir, 12, 50, 200), vec![(2_000, revised), (5_000, EventKind::KvDown { for_ms: 60_000 })])
+}
+
+fn bookings_under_fire() -> Trace {
+    let events = vec![
+        (3_000, EventKind::KvLoseReplies { for_ms: 4_000 }),
+        (6_000, EventKind::DaemonPause { target: named("entry-2"), for_ms: 8_000 }),
+        (9_000, EventKind::KvSlow { delay_ms: 700, for_ms: 3_000 }),
+        (11_000, EventKind::DaemonKill { target: named("entry-3") }),
+        (13_000, EventKind::RunnerSilent { target: named("desk-02") }),
+        (15_000, EventKind::KvDown { for_ms: 10_000 }),
+        (18_000, EventKind::DaemonStart { target: named("entry-3") }),
+        (20_000, EventKind::RunnerCrash { target: named("desk-01") }),
+    ];
+    with(base(Site::Library, 13, 100, 100), events)
+}
+
+fn orders_raced() -> Trace {
+    let set = |target: u64| {
+        let set = json!({ "loan-draft": { "target_ms": target } });
+        set.as_object().cloned().unwrap_or_default()
+    };
+    let revised = |target, racers| EventKind::QuestionnaireRevised { team: named("lending"), set: set(target), racers };
+    let events = vec![
+        (2_000, revised(95_000, 5)),
+        (4_000, revised(100_000, 1)),
+        (4_500, EventKind::DaemonPause { target: named("entry-1"), for_ms: 6_000 }),
+        (5_000, revised(105_000, 3)),
+        (7_000, EventKind::KvLoseReplies { for_ms: 2_000 }),
+        (7_500, revised(110_000, 2)),
+    ];
+    with(base(Site::Library, 14, 50, 100), events)
+}
+
+fn burst() -> Trace {
+    base(Site::Reservoir, 15, 120, 900)
+}
+
+fn straggler() -> Trace {
+    let events = vec![
+        (2_000, EventKind::RunnerSlow { target: named("drafting-04"), factor: 6.0 }),
+        (3_000, EventKind::ReportsLag { delay_ms: 3_000, for_ms: 12_000 }),
+        (16_000, EventKind::RunnerSlow { target: named("drafting-04"), factor: 1.0 }),
+    ];
+    with(base(Site::Library, 16, 100, 200), events)
+}
+
+fn overload() -> Trace {
+    base(Site::Reservoir, 17, 300, 100)
+}
+
+fn poison() -> Trace {
+    let mut trace = base(Site::Reservoir, 18, 60, 100);
+    let poison = |number: u64, at_ms: u64| TraceRequest {
+        at_ms,
+        id: format!("poison-{number}"),
+        customer: named("c4"),
+        class: named("maintenance-summary"),
+        zone: named("fayon"),
+        prompt_tokens: 800,
+        output_tokens: 200,
+        prefix: None,
+        prefix_tokens: 0,
+        key: Some(named("poison-key")),
+        poison: true,
+        abandon_ms: None,
+    };
+    trace.requests.extend([poison(1, 3_000), poison(2, 14_000), poison(3, 18_000)]);
+    trace.requests.sort_by_key(|request| request.at_ms);
+    trace
+}
+
+fn silent_connections() -> Trace {
+    let silent = |number: u64| EventKind::RunnerSilent { target: format!("assistant-{number:02}") };
+    let service = EventKind::RunnerSilent { target: named("compost-01") };
+    with(base(Site::Reservoir, 19, 60, 100), vec![(6_000, silent(1)), (7_000, silent(7)), (9_000, service)])
+}
+
+fn stops_and_deaths() -> Trace {
+    let events = vec![
+        (4_000, EventKind::DaemonStop { target: named("entry-1") }),
+        (8_000, EventKind::DaemonKill { target: named("entry-2") }),
+        (11_000, EventKind::DaemonStart { target: named("entry-1") }),
+        (13_000, EventKind::DaemonPause { target: named("entry-4"), for_ms: 5_000 }),
+        (16_000, EventKind::DaemonStart { target: named("entry-2") }),
+        (20_000, EventKind::DaemonStop { target: named("entry-5") }),
+    ];
+    with(base(Site::Reservoir, 20, 60, 100), events)
+}
+
+fn zone_gone() -> Trace {
+    let mut events = Vec::new();
+    for daemon in ["entry-1", "entry-4"] {
+        events.push((6_000, EventKind::DaemonKill { target: named(daemon) }));
+    }
+    for number in [1, 4, 7, 10, 13, 16, 19] {
+        events.push((6_000, EventKind::RunnerCrash { target: format!("assistant-{number:02}") }));
+    }
+    events.push((6_000, EventKind::RunnerCrash { target: named("compost-01") }));
+    with(base(Site::Reservoir, 21, 60, 100), events)
+}
+
+fn callers_leave() -> Trace {
+    let mut trace = base(Site::Library, 22, 100, 200);
+    for request in trace.requests.iter_mut().step_by(5) {
+        request.abandon_ms = Some(700);
+    }
+    trace
+}
+
+/// Every trace kept in the repository.
+pub fn scenarios() -> Vec<Scenario> {
+    vec![
+        Scenario { name: "reservoir-term", trace: demo_trace(Site::Reservoir) },
+        Scenario { name: "library-term", trace: demo_trace(Site::Library) },
+        Scenario { name: "01-runners-leave", trace: runner_leaves() },
+        Scenario { name: "02-store-down", trace: store_down() },
+        Scenario { name: "03-bookings-under-fire", trace: bookings_under_fire() },
+        Scenario { name: "04-orders-raced", trace: orders_raced() },
+        Scenario { name: "05-burst", trace: burst() },
+        Scenario { name: "06-straggler", trace: straggler() },
+        Scenario { name: "07-overload", trace: overload() },
+        Scenario { name: "07-callers-leave", trace: callers_leave() },
+        Scenario { name: "08-poison", trace: poison() },
+        Scenario { name: "09-silent-connections", trace: silent_connections() },
+        Scenario { name: "10-stops-and-deaths", trace: stops_and_deaths() },
+        Scenario { name: "10-zone-gone", trace: zone_gone() },
+    ]
+}
