--- a/crates/policy/src/executor.rs
+++ b/crates/policy/src/executor.rs
@@ -139,13 +139,18 @@
         control.owner.as_ref()
     }
 
-    /// Takes in a peer's word that it owns `slot`.
-    pub fn peer_owns(&mut self, peer: &Member, slot: SlotId, epoch: u64) {
-        if let Some(control) = self.slots.get_mut(&slot)
-            && epoch >= control.epoch
-        {
-            control.owner = Some(peer.clone());
-            control.epoch = epoch;
+    /// Takes in a peer's word which slots it owns; one that it gave up has no known executor.
+    pub fn peer_owns(&mut self, peer: &Member, owned: &[(SlotId, u64)]) {
+        for (slot, control) in &mut self.slots {
+            let claimed = owned.iter().find(|(owned, _)| owned == slot).map(|(_, epoch)| *epoch);
+            match claimed {
+                Some(epoch) if epoch >= control.epoch => {
+                    control.owner = Some(peer.clone());
+                    control.epoch = epoch;
+                }
+                None if control.owner.as_ref() == Some(peer) => control.owner = None,
+                _ => {}
+            }
         }
     }
 
--- a/crates/policy/tests/at_most_once/cell/node.rs
+++ b/crates/policy/tests/at_most_once/cell/node.rs
@@ -63,9 +63,7 @@
     /// Takes in a heartbeat.
     pub fn hear(&mut self, now: Millis, peer: &Member, owned: &[(SlotId, u64)]) {
         self.members.heard(now, peer, false);
-        for (slot, epoch) in owned {
-            self.executor.peer_owns(peer, *slot, *epoch);
-        }
+        self.executor.peer_owns(peer, owned);
     }
 
     /// Lets time pass; a pause is noticed as the daemon notices it.
--- a/crates/router/src/control/peers.rs
+++ b/crates/router/src/control/peers.rs
@@ -43,9 +43,7 @@
     pub(super) fn heard(&mut self, pulse: Pulse) {
         let now = self.now();
         self.members.heard(now, &pulse.member, pulse.leaving);
-        for (slot, epoch) in &pulse.slots {
-            self.slots.peer_owns(&pulse.member, *slot, *epoch);
-        }
+        self.slots.peer_owns(&pulse.member, &pulse.slots);
         for fingerprint in pulse.condemned {
             for shard in self.shards.values_mut() {
                 shard.dispatcher.condemn(fingerprint);
