Keep runners fast for urgent work; serve lesser work that can still meet its target

Cause: under load quick questions shared engines with long prompts, whose reading stretches every token of the batch; the aged share then began work whose callers gave up before its end. Ruled out: waiting (the misses were granted at once) and preemption (none among the lost). Change: as many runners as urgent requests lately needed at once take urgent work only; lesser work that can still meet its target goes before work that cannot; none begins that would outlast its caller's patience; a refused request that returns keeps its age; one that ran before goes first.

--- a/crates/policy/src/dispatch_settings.rs
+++ b/crates/policy/src/dispatch_settings.rs
@@ -15,6 +15,8 @@
     pub refusal_hold: Millis,
     /// Share of its target that an urgent request waits before it preempts, in percent.
     pub preempt_percent: u64,
+    /// Expected time at a runner that a request needs to count as on time, in percent.
+    pub margin_percent: u64,
     /// How long a suspect runs without companions.
     pub alone_for: Millis,
     /// Crashes without companions after which a request is refused.
@@ -41,6 +43,7 @@
             aged_every: 8,
             refusal_hold: Millis(1_000),
             preempt_percent: 15,
+            margin_percent: 150,
             alone_for: Millis(3_000),
             alone_crashes: 2,
             eject_percent: 250,
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -9,14 +9,20 @@
 use teaselcroft_parts::{Fingerprint, Millis, RunnerName};
 
 use crate::{
-    Descriptor, DispatchSettings, EndKind, FairQueue, HoldTimes, LoadReport, Outcome, PrefixMap, ResultCode,
+    Descriptor, DispatchSettings, EndKind, FairQueue, HoldTimes, LoadReport, Outcome, PrefixMap, ResultCode, Returning,
     RunnerInfo, RunnerKey, RunnerPool, Suspects, Tier,
 };
 
 const MIN_RETRY: Millis = Millis(200);
 const MAX_RETRY: Millis = Millis(10_000);
+/// Expected time at a runner that must be left of the patience of a request that begins, in percent.
+const HOPELESS_PERCENT: u64 = 200;
+
 const PREEMPT_SHARE: u32 = 8;
 
+/// The remembered peak of urgent requests falls by one part in this many a tick.
+const PEAK_DECAY: u64 = 200;
+
 new_key_type! {
     /// Identifies a request within one dispatcher.
     pub struct PlaceKey;
@@ -88,6 +94,7 @@
 
 #[derive(Debug, Default)]
 struct TierQueue {
+    resumed: VecDeque<PlaceKey>,
     fair: FairQueue<PlaceKey>,
     late: VecDeque<PlaceKey>,
     waiting: u32,
@@ -111,6 +118,9 @@
     suspects: Suspects,
     grants: u64,
     refused_at: Option<Millis>,
+    urgent_milli: u64,
+    hopeless: Vec<PlaceKey>,
+    returning: Returning,
 }
 
 impl Dispatcher {
@@ -132,6 +142,9 @@
             suspects: Suspects::default(),
             grants: 0,
             refused_at: None,
+            urgent_milli: 0,
+            hopeless: Vec::new(),
+            returning: Returning::default(),
         }
     }
 
@@ -178,6 +191,7 @@
         if now.since(self.started) >= self.settings.adopt_for {
             self.pool.trust_own_counts();
         }
+        self.keep_fast();
         let ejected = self.pool.tick(now, &self.settings);
         let mut actions: Vec<DispatchAction> =
             ejected.into_iter().map(|runner| DispatchAction::Eject { runner }).collect();
@@ -185,12 +199,31 @@
         actions
     }
 
+    /// Keeps runners fast for as many urgent requests as ran or waited at once lately.
+    fn keep_fast(&mut self) {
+        let urgent = Tier::all().filter(|tier| tier.is_urgent()).map(|tier| self.tiers[tier.index()].waiting);
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX) - self.lesser;
+        let now_milli = u64::from(urgent.sum::<u32>() + running) * 1_000;
+        let fallen = self.urgent_milli - self.urgent_milli / PEAK_DECAY;
+        self.urgent_milli = now_milli.max(fallen);
+        self.pool.keep_fast(u32::try_from(self.urgent_milli / 1_000).unwrap_or(u32::MAX));
+    }
+
     /// Takes in a request; the answer may be among the actions.
-    pub fn enter(&mut self, now: Millis, request: Descriptor) -> (PlaceKey, Vec<DispatchAction>) {
+    ///
+    /// One that was refused before and comes back keeps the age it had.
+    pub fn enter(&mut self, now: Millis, mut request: Descriptor) -> (PlaceKey, Vec<DispatchAction>) {
+        self.returning.forget(now);
+        if let Some(first) = self.returning.first_arrival(request.fingerprint) {
+            request.arrival = request.arrival.min(first);
+        }
         let expected = self.holds.expected(&request.class, &request.rule);
         let place = self.places.insert(Place { request, state: State::Waiting, expected });
         if let Some((code, retry)) = self.refusal(now, place) {
-            self.places.remove(place);
+            if let Some(Place { request, .. }) = self.places.remove(place) {
+                let until = request.arrival + request.rule.patience;
+                self.returning.refused(request.fingerprint, request.arrival, until);
+            }
             return (place, vec![DispatchAction::Refuse { place, code, retry }]);
         }
         if self.adopt(now, place) {
@@ -260,6 +293,10 @@
             self.apart.make_contiguous().sort_by_key(tier);
             return;
         }
+        if request.admitted {
+            queue.resumed.push_back(key);
+            return;
+        }
         queue.fair.push(&request.customer, key, request.rule.cost(request.prompt_tokens));
     }
 
@@ -314,7 +351,7 @@
             self.holds.record(&place.request.class, now.since(since));
         }
         if let Some(runner) = runner {
-            self.pool.end(runner);
+            self.pool.end(runner, tier.is_urgent());
         }
     }
 
@@ -351,16 +388,26 @@
             let Some(key) = self.next_place(now) else {
                 break;
             };
-            self.dequeued(key);
             let Some((runner, reason)) = self.choose(key) else {
+                self.put_back(key);
                 break;
             };
+            self.dequeued(key);
             actions.extend(self.grant(now, key, runner, reason, None));
         }
+        let refuse = |place| DispatchAction::Refuse { place, code: ResultCode::PatienceOver, retry: Millis(0) };
+        actions.extend(self.hopeless.drain(..).map(refuse));
         self.preempt(now, &mut actions);
         actions
     }
 
+    /// Lets a request that could not be granted after all go first next time.
+    fn put_back(&mut self, key: PlaceKey) {
+        if let Some(place) = self.places.get(key) {
+            self.tiers[place.request.rule.tier.index()].resumed.push_front(key);
+        }
+    }
+
     /// Runs suspects without companions, on runners kept free for them.
     fn pump_apart(&mut self, now: Millis, actions: &mut Vec<DispatchAction>) {
         let places = &self.places;
@@ -378,22 +425,28 @@
         self.pool.reserve(self.apart.len().min(most));
     }
 
-    /// The request that goes next: aged ones now and then, else the most urgent.
+    /// The request that goes next: urgent ones, then those that ran before, then by tier.
+    ///
+    /// Requests that can no longer meet their target go after all that can. An aged one goes first
+    /// now and then.
     fn next_place(&mut self, now: Millis) -> Option<PlaceKey> {
         let lesser_max = self.pool.places() * (100 - self.settings.reserve_percent) / 100;
-        let lesser_open = self.lesser < lesser_max.max(1);
-        if lesser_open && let Some(aged) = self.next_aged(now) {
-            return Some(aged);
+        let lesser_open = self.lesser < lesser_max.max(1) && self.pool.has_shared_room();
+        let aged = if lesser_open { self.next_aged(now) } else { None };
+        let urgent = |tier: &Tier| tier.is_urgent();
+        let found = aged.or_else(|| self.next_of_any(now, urgent));
+        if found.is_some() || !lesser_open {
+            return found;
         }
-        for tier in Tier::all() {
-            if !tier.is_urgent() && !lesser_open {
-                return None;
-            }
-            if let Some(key) = self.next_of(now, tier) {
-                return Some(key);
-            }
-        }
-        None
+        self.next_of_any(now, |tier| !tier.is_urgent())
+    }
+
+    /// The next request of the tiers that `wanted` picks.
+    fn next_of_any(&mut self, now: Millis, wanted: impl Fn(&Tier) -> bool) -> Option<PlaceKey> {
+        let tiers = || Tier::all().filter(&wanted);
+        let resumed = tiers().find_map(|tier| self.next_resumed(tier));
+        let on_time = resumed.or_else(|| tiers().find_map(|tier| self.next_on_time(now, tier)));
+        on_time.or_else(|| tiers().find_map(|tier| self.next_late(now, tier)))
     }
 
     fn next_aged(&mut self, now: Millis) -> Option<PlaceKey> {
@@ -401,55 +454,87 @@
         if held || !self.grants.is_multiple_of(self.settings.aged_every) {
             return None;
         }
-        let places = &self.places;
-        let apart = &self.apart;
-        for tier in Tier::all().rev().filter(|tier| !tier.is_urgent()) {
-            let queue = &mut self.tiers[tier.index()];
+        Tier::all().rev().filter(|tier| !tier.is_urgent()).find_map(|tier| self.oldest_aged(now, tier))
+    }
+
+    fn oldest_aged(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
+        loop {
+            let (places, apart) = (&self.places, &self.apart);
             let waits = |key| Dispatcher::is_waiting(places, key) && !apart.contains(&key);
-            let Some(key) = queue.fair.oldest(waits) else {
-                continue;
-            };
-            let request = &places[key].request;
+            let key = self.tiers[tier.index()].fair.oldest(waits)?;
+            let request = &self.places[key].request;
             let aged_at = Millis(request.rule.patience.0 * self.settings.age_percent / 100);
-            if now.since(request.arrival) >= aged_at {
+            if now.since(request.arrival) < aged_at {
+                return None;
+            }
+            if !self.is_hopeless(now, key) {
+                return Some(key);
+            }
+        }
+    }
+
+    fn next_resumed(&mut self, tier: Tier) -> Option<PlaceKey> {
+        let places = &self.places;
+        let resumed = &mut self.tiers[tier.index()].resumed;
+        while let Some(key) = resumed.pop_front() {
+            if Dispatcher::is_waiting(places, key) {
                 return Some(key);
             }
         }
         None
     }
 
-    /// The next request of `tier`; those that can no longer meet their target go last.
-    fn next_of(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
+    /// The next request of `tier` that can still meet its target; others join the late ones.
+    fn next_on_time(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
         let places = &self.places;
         let queue = &mut self.tiers[tier.index()];
-        if queue.waiting == 0 {
-            return None;
-        }
         let waits = |key| Dispatcher::is_waiting(places, key);
         while let Some(key) = queue.fair.pop(waits) {
             let place = &places[key];
             let due = place.request.arrival + place.request.rule.target;
-            if !tier.is_urgent() || now + place.expected <= due {
+            let needed = Millis(place.expected.0 * self.settings.margin_percent / 100);
+            if now + needed <= due {
                 return Some(key);
             }
             queue.late.push_back(key);
         }
-        while let Some(key) = queue.late.pop_front() {
-            if waits(key) {
+        None
+    }
+
+    fn next_late(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
+        while let Some(key) = self.tiers[tier.index()].late.pop_front() {
+            if Dispatcher::is_waiting(&self.places, key) && !self.is_hopeless(now, key) {
                 return Some(key);
             }
         }
         None
     }
 
+    /// Whether a request would outlast its caller's patience; it is refused then.
+    fn is_hopeless(&mut self, now: Millis, key: PlaceKey) -> bool {
+        let Some(place) = self.places.get(key) else {
+            return true;
+        };
+        let gives_up = place.request.arrival + place.request.rule.patience;
+        let needed = Millis(place.expected.0 * HOPELESS_PERCENT / 100);
+        if place.request.admitted || now + needed <= gives_up {
+            return false;
+        }
+        self.dequeued(key);
+        self.places.remove(key);
+        self.hopeless.push(key);
+        true
+    }
+
     fn choose(&self, key: PlaceKey) -> Option<(RunnerKey, &'static str)> {
         let request = &self.places.get(key)?.request;
         let cached = self.prefixes.get(request.prefix).filter(|runner| !self.is_avoided(*runner, request));
-        let cached = cached.and_then(|runner| self.pool.within_mean(runner, self.settings.affinity_percent));
+        let urgent = request.rule.tier.is_urgent();
+        let cached = cached.and_then(|runner| self.pool.within_mean(runner, urgent, self.settings.affinity_percent));
         if let Some(runner) = cached {
             return Some((runner, "prompt prefix cached"));
         }
-        let runner = self.pool.least_loaded(&request.zone, request.avoid.as_ref())?;
+        let runner = self.pool.least_loaded(urgent, &request.zone, request.avoid.as_ref())?;
         Some((runner, "least loaded, own zone first"))
     }
 
@@ -483,7 +568,7 @@
         self.running.insert((tier, now, key));
         self.lesser += u32::from(!tier.is_urgent());
         if let Some(runner) = runner {
-            self.pool.begin(runner, alone_until);
+            self.pool.begin(runner, tier.is_urgent(), alone_until);
         }
     }
 
--- a/crates/policy/src/runner.rs
+++ b/crates/policy/src/runner.rs
@@ -36,6 +36,8 @@
     pub(crate) down_until: Option<Millis>,
     pub(crate) alone_until: Option<Millis>,
     pub(crate) reserved: bool,
+    pub(crate) fast: bool,
+    pub(crate) lesser: u32,
     pub(crate) crash: Option<(Millis, u32)>,
     pub(crate) step_us: u64,
 }
@@ -51,6 +53,8 @@
             down_until: None,
             alone_until: None,
             reserved: false,
+            fast: false,
+            lesser: 0,
             crash: None,
             step_us: 0,
         }
--- a/crates/policy/src/runner_pool.rs
+++ b/crates/policy/src/runner_pool.rs
@@ -8,6 +8,15 @@
 use crate::runner::Runner;
 use crate::{DispatchSettings, LoadReport, RunnerInfo};
 
+/// Share of fast runners' places that urgent work is expected to take, in percent.
+const FAST_PERCENT: u32 = 65;
+
+/// How many urgent requests a lesser one counts for on a fast runner.
+const LESSER_WEIGHT: u32 = 4;
+
+/// Fast runners beyond the need that are kept, so that runners do not change sides all the time.
+const SPARE_FAST: usize = 1;
+
 const NEAR_CANDIDATES: usize = 4;
 const CRASH_WINDOW: Millis = Millis(500);
 
@@ -16,12 +25,20 @@
     pub struct RunnerKey;
 }
 
+/// The place of a runner with room in its index: by load.
+type Room = (u32, RunnerKey);
+
 /// Runners with room, ordered by load, and those kept apart.
+///
+/// Some runners are kept fast: they get urgent work only, so that long prompts of lesser work do
+/// not stretch the time between an urgent answer's tokens.
 #[derive(Debug)]
 pub struct RunnerPool {
     runners: SlotMap<RunnerKey, Runner>,
     names: HashMap<RunnerName, RunnerKey>,
-    open: BTreeSet<(u32, RunnerKey)>,
+    open_fast: BTreeSet<Room>,
+    open_shared: BTreeSet<Room>,
+    fast: usize,
     places: u32,
     own: u32,
     trust_reports: bool,
@@ -32,7 +49,9 @@
         RunnerPool {
             runners: SlotMap::with_key(),
             names: HashMap::new(),
-            open: BTreeSet::new(),
+            open_fast: BTreeSet::new(),
+            open_shared: BTreeSet::new(),
+            fast: 0,
             places: 0,
             own: 0,
             trust_reports: true,
@@ -45,16 +64,17 @@
     fn update<R>(&mut self, key: RunnerKey, change: impl FnOnce(&mut Runner) -> R) -> Option<R> {
         let trust = self.trust_reports;
         let runner = self.runners.get_mut(key)?;
-        if runner.is_open(trust) {
-            self.open.remove(&(runner.load(trust), key));
-        }
+        let before = room(runner, key, trust);
+        self.open_fast.remove(&before);
+        self.open_shared.remove(&before);
         let usable_before = usable_places(runner);
         let own_before = runner.own;
         let result = change(runner);
         self.places = self.places - usable_before + usable_places(runner);
         self.own = self.own - own_before + runner.own;
         if runner.is_open(trust) {
-            self.open.insert((runner.load(trust), key));
+            let index = if runner.fast { &mut self.open_fast } else { &mut self.open_shared };
+            index.insert(room(runner, key, trust));
         }
         Some(result)
     }
@@ -94,8 +114,12 @@
             return;
         }
         self.trust_reports = false;
-        let open = self.runners.iter().filter(|(_, runner)| runner.is_open(false));
-        self.open = open.map(|(key, runner)| (runner.load(false), key)).collect();
+        self.open_fast.clear();
+        self.open_shared.clear();
+        for (key, runner) in self.runners.iter().filter(|(_, runner)| runner.is_open(false)) {
+            let index = if runner.fast { &mut self.open_fast } else { &mut self.open_shared };
+            index.insert(room(runner, key, false));
+        }
     }
 
     /// The runner called `name`.
@@ -130,13 +154,20 @@
 
     /// Whether any runner has room.
     pub fn has_room(&self) -> bool {
-        !self.open.is_empty()
+        !self.open_fast.is_empty() || !self.open_shared.is_empty()
+    }
+
+    /// Whether a runner has room that lesser work may use.
+    pub fn has_shared_room(&self) -> bool {
+        !self.open_shared.is_empty()
     }
 
     /// The least loaded runner with room: in `zone` if one there is as free, and never `avoid`
-    /// if there is another.
-    pub fn least_loaded(&self, zone: &ZoneName, avoid: Option<&RunnerName>) -> Option<RunnerKey> {
-        let near = self.open.iter().take(NEAR_CANDIDATES);
+    /// if there is another. Urgent work goes to a fast runner while one has room.
+    pub fn least_loaded(&self, urgent: bool, zone: &ZoneName, avoid: Option<&RunnerName>) -> Option<RunnerKey> {
+        let fast = urgent && !self.open_fast.is_empty();
+        let index = if fast { &self.open_fast } else { &self.open_shared };
+        let near = index.iter().take(NEAR_CANDIDATES);
         let best = near.min_by_key(|(load, key)| {
             let info = self.info(*key);
             let avoided = info.is_some_and(|info| Some(&info.name) == avoid);
@@ -146,9 +177,36 @@
         best.map(|(_, key)| *key)
     }
 
+    /// Keeps as many runners fast as `urgent` urgent requests at once need.
+    pub fn keep_fast(&mut self, urgent: u32) {
+        let usable = self.runners.values().filter(|runner| runner.is_usable()).count();
+        let each = (self.places / u32::try_from(usable.max(1)).unwrap_or(u32::MAX)).max(1);
+        let needed = (urgent * 100).div_ceil((each * FAST_PERCENT).max(1)) as usize;
+        let wanted = needed.min(usable.saturating_sub(1));
+        while self.fast < wanted && self.change_fast(true) {}
+        while self.fast > wanted + SPARE_FAST && self.change_fast(false) {}
+    }
+
+    /// Makes one more runner fast, or one fewer; the one with the least lesser work.
+    fn change_fast(&mut self, fast: bool) -> bool {
+        let candidates = self.runners.iter().filter(|(_, runner)| runner.fast != fast && (!fast || runner.is_usable()));
+        let Some(key) = candidates.min_by_key(|(_, runner)| runner.lesser).map(|(key, _)| key) else {
+            return false;
+        };
+        self.update(key, |runner| runner.fast = fast);
+        self.fast = if fast { self.fast + 1 } else { self.fast - 1 };
+        true
+    }
+
     /// `key` if it has room and its load is within `percent` of the mean.
-    pub fn within_mean(&self, key: RunnerKey, percent: u32) -> Option<RunnerKey> {
+    ///
+    /// Lesser work never goes to a fast runner, nor urgent work to a shared one if there are fast
+    /// ones.
+    pub fn within_mean(&self, key: RunnerKey, urgent: bool, percent: u32) -> Option<RunnerKey> {
         let runner = self.runners.get(key)?;
+        if runner.fast != (urgent && self.fast > 0) {
+            return None;
+        }
         let count = u32::try_from(self.names.len()).unwrap_or(u32::MAX).max(1);
         let bound = (self.own / count + 1) * percent / 100 + 1;
         let fits = runner.is_open(self.trust_reports) && runner.load(self.trust_reports) < bound;
@@ -156,9 +214,10 @@
     }
 
     /// Counts a granted request at `key`, without companions until `alone_until` if that is set.
-    pub fn begin(&mut self, key: RunnerKey, alone_until: Option<Millis>) {
+    pub fn begin(&mut self, key: RunnerKey, urgent: bool, alone_until: Option<Millis>) {
         self.update(key, |runner| {
             runner.own += 1;
+            runner.lesser += u32::from(!urgent);
             if alone_until.is_some() {
                 runner.alone_until = alone_until;
                 runner.reserved = false;
@@ -167,8 +226,9 @@
     }
 
     /// Counts the end of a granted request at `key`.
-    pub fn end(&mut self, key: RunnerKey) {
+    pub fn end(&mut self, key: RunnerKey, urgent: bool) {
         self.update(key, |runner| {
+            runner.lesser = runner.lesser.saturating_sub(u32::from(!urgent));
             runner.own = runner.own.saturating_sub(1);
             if runner.own == 0 {
                 runner.alone_until = None;
@@ -213,7 +273,7 @@
             self.update(*key, |runner| runner.reserved = false);
         }
         for _ in reserved.len()..wanted {
-            let Some((_, key)) = self.open.first().copied() else {
+            let Some((_, key)) = self.open_shared.first().copied() else {
                 return;
             };
             self.update(key, |runner| runner.reserved = true);
@@ -255,6 +315,12 @@
     }
 }
 
+/// Where a runner stands in its index: a fast one that still has lesser work comes late.
+fn room(runner: &Runner, key: RunnerKey, trust_reports: bool) -> Room {
+    let penalty = if runner.fast { runner.lesser * LESSER_WEIGHT } else { 0 };
+    (runner.load(trust_reports) + penalty, key)
+}
+
 fn usable_places(runner: &Runner) -> u32 {
     if runner.is_usable() { runner.allowed } else { 0 }
 }
--- a/crates/standins/src/generator.rs
+++ b/crates/standins/src/generator.rs
@@ -18,6 +18,8 @@
     pub span_ms: u64,
     /// Load in hundredths of the usual.
     pub load_percent: u64,
+    /// Load of quick questions, if it differs.
+    pub quick_percent: Option<u64>,
     /// Quick questions in the burst, in hundredths of the usual rate.
     pub burst_percent: u64,
 }
@@ -30,6 +32,7 @@
             seed: 1,
             span_ms: 30_000,
             load_percent: 100,
+            quick_percent: None,
             burst_percent: 500,
         }
     }
@@ -103,7 +106,9 @@
     loop {
         let bursting = mix.bursts && BURST_MS.contains(&(at as u64));
         let burst = if bursting { settings.burst_percent as f64 / 100.0 } else { 1.0 };
-        let every = mix.every_ms * 100.0 / settings.load_percent.max(1) as f64 / burst;
+        let quick = settings.quick_percent.filter(|_| mix.bursts);
+        let percent = quick.unwrap_or(settings.load_percent).max(1);
+        let every = mix.every_ms * 100.0 / percent as f64 / burst;
         at += -every * (1.0 - rng.f64()).ln();
         if at >= settings.span_ms as f64 {
             return;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the platform and players of traces, for development only.
 
 mod batch;
+pub mod bench;
+pub mod bench_policy;
 mod caller;
 mod engine_server;
 mod fleet;
