Judge a request's wait by its customer's fair share; test the dispatcher's decisions

Cause: one customer's full queue made the dispatcher refuse others at once, though fair queueing would have served them next (found by a test with one large and one small customer). Change: the expected wait is the smaller of all work ahead and the customer's fair share of it.

--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use slotmap::{SlotMap, new_key_type};
-use teaselcroft_parts::{Fingerprint, Millis, RunnerName};
+use teaselcroft_parts::{CustomerName, Fingerprint, Millis, RunnerName};
 
 use crate::{
     Descriptor, DispatchSettings, EndKind, FairQueue, HoldTimes, LoadReport, Outcome, PrefixMap, ResultCode, Returning,
@@ -244,7 +244,7 @@
         }
         let tier = request.rule.tier;
         let full = self.tiers[tier.index()].waiting >= request.rule.queue_limit;
-        let wait = self.expected_wait(tier);
+        let wait = self.expected_wait(tier, &request.customer);
         let limit = request.rule.wait_limit();
         let limit = limit.since(place.expected).max(Millis(limit.0 / 4));
         let waited = now.since(request.arrival);
@@ -258,11 +258,14 @@
         Some((ResultCode::Overloaded, retry))
     }
 
-    /// The expected wait of a request that enters `tier` now.
-    fn expected_wait(&self, tier: Tier) -> Millis {
-        let ahead = self.tiers.iter().take(tier.index() + 1);
-        let hold_ms: u64 = ahead.map(|queue| queue.hold_ms).sum();
-        Millis(hold_ms / u64::from(self.pool.places().max(1)))
+    /// The expected wait of a request of `customer` that enters `tier` now: that of all work ahead,
+    /// or of its fair share of the tier if that is less.
+    fn expected_wait(&self, tier: Tier, customer: &CustomerName) -> Millis {
+        let more_urgent: u64 = self.tiers.iter().take(tier.index()).map(|queue| queue.hold_ms).sum();
+        let queue = &self.tiers[tier.index()];
+        let mean = queue.hold_ms / u64::from(queue.waiting.max(1));
+        let share = mean.saturating_mul(queue.fair.ahead(customer) as u64);
+        Millis((more_urgent + queue.hold_ms.min(share)) / u64::from(self.pool.places().max(1)))
     }
 
     /// Takes over a request that another dispatcher granted; true if it runs.
--- a/crates/policy/src/fair_queue.rs
+++ b/crates/policy/src/fair_queue.rs
@@ -72,6 +72,13 @@
         }
     }
 
+    /// How many requests go before the next one of `customer`, by its fair share.
+    pub fn ahead(&self, customer: &CustomerName) -> usize {
+        let own = self.lanes.get(customer).map_or(0, |lane| lane.waiting.len());
+        let others = self.order.len() - usize::from(own > 0);
+        own + others * (own + 1)
+    }
+
     /// The request that has waited longest of those that `is_live` knows.
     pub fn oldest(&mut self, is_live: impl Fn(K) -> bool) -> Option<K> {
         while let Some(key) = self.arrivals.front() {
--- /dev/null
+++ b/crates/policy/tests/dispatcher.rs
@@ -0,0 +1,379 @@
+//! The dispatcher's decisions, one failure at a time, under a virtual clock.
+
+#![allow(clippy::expect_used)]
+
+use teaselcroft_parts::{Fingerprint, Millis, RunnerName};
+use teaselcroft_policy::{
+    ClassRule, Descriptor, DispatchAction, DispatchSettings, Dispatcher, EndKind, LoadReport, Outcome, PlaceKey,
+    ResultCode, RunnerInfo, Tier, UpstreamKind,
+};
+
+const PLACES: u32 = 4;
+
+fn rule(tier: u8) -> ClassRule {
+    ClassRule {
+        tier: Tier(tier),
+        kind: UpstreamKind::Model,
+        upstream: "assistant".parse().expect("a name"),
+        target: Millis(if tier <= 1 { 4_000 } else { 60_000 }),
+        patience: Millis(if tier <= 1 { 20_000 } else { 200_000 }),
+        never_repeat: false,
+        prompt_tokens: 100,
+        output_tokens: 50,
+        queue_limit: 10_000,
+    }
+}
+
+fn request(id: u64, customer: &str, tier: u8, arrival: Millis) -> Descriptor {
+    Descriptor {
+        request: format!("r{id}").parse().expect("a name"),
+        customer: customer.parse().expect("a name"),
+        class: format!("class-{tier}").parse().expect("a name"),
+        rule: rule(tier),
+        fingerprint: Fingerprint(id),
+        prefix: Fingerprint(id),
+        prompt_tokens: 100,
+        arrival,
+        holding: None,
+        admitted: false,
+        avoid: None,
+        zone: "fayon".parse().expect("a name"),
+    }
+}
+
+fn runner(number: usize) -> RunnerInfo {
+    RunnerInfo {
+        name: format!("assistant-{number:02}").parse().expect("a name"),
+        zone: "fayon".parse().expect("a name"),
+        address: format!("10.0.0.{number}:80"),
+        places: PLACES,
+        leaving: false,
+    }
+}
+
+fn dispatcher(runners: usize) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), Millis(0));
+    dispatcher.set_runners(Millis(0), (0..runners).map(runner).collect());
+    dispatcher.tick(Millis(10_000));
+    dispatcher
+}
+
+fn grants(actions: &[DispatchAction]) -> Vec<(PlaceKey, RunnerName)> {
+    let grants = actions.iter().filter_map(|action| match action {
+        DispatchAction::Grant { place, runner, .. } => Some((*place, runner.name.clone())),
+        _ => None,
+    });
+    grants.collect()
+}
+
+fn refused(actions: &[DispatchAction]) -> Option<ResultCode> {
+    actions.iter().find_map(|action| match action {
+        DispatchAction::Refuse { code, .. } => Some(*code),
+        _ => None,
+    })
+}
+
+fn bare(kind: EndKind) -> Outcome {
+    Outcome::bare(kind)
+}
+
+#[test]
+fn a_leaving_runner_gets_no_new_work() {
+    let mut dispatcher = dispatcher(2);
+    let leaving = RunnerInfo { leaving: true, ..runner(0) };
+
+    dispatcher.set_runners(Millis(10_000), vec![leaving, runner(1)]);
+    let granted: Vec<RunnerName> = (0..8)
+        .flat_map(|id| grants(&dispatcher.enter(Millis(10_000), request(id, "c1", 1, Millis(10_000))).1))
+        .map(|(_, name)| name)
+        .collect();
+
+    assert_eq!(granted.len(), PLACES as usize);
+    assert!(granted.iter().all(|name| *name == runner(1).name));
+}
+
+#[test]
+fn the_more_urgent_goes_first() {
+    let mut dispatcher = dispatcher(1);
+    let now = Millis(10_000);
+    let running: Vec<PlaceKey> = (0..4).map(|id| dispatcher.enter(now, request(id, "c1", 1, now)).0).collect();
+    let (lesser, _) = dispatcher.enter(now, request(10, "c1", 3, now));
+    let (urgent, _) = dispatcher.enter(now, request(11, "c1", 1, now));
+
+    let actions = dispatcher.leave(Millis(11_000), running[0], bare(EndKind::Done));
+
+    let places: Vec<PlaceKey> = grants(&actions).into_iter().map(|(place, _)| place).collect();
+    assert_eq!(places, [urgent]);
+    assert!(!places.contains(&lesser));
+}
+
+#[test]
+fn a_large_customer_does_not_hold_up_a_small_one() {
+    let mut dispatcher = dispatcher(1);
+    let now = Millis(10_000);
+    let running: Vec<PlaceKey> = (0..4).map(|id| dispatcher.enter(now, request(id, "large", 1, now)).0).collect();
+    for id in 10..60 {
+        dispatcher.enter(now, request(id, "large", 1, now));
+    }
+    let (small, _) = dispatcher.enter(now, request(99, "small", 1, now));
+
+    let mut granted = Vec::new();
+    for place in &running[..2] {
+        granted.extend(grants(&dispatcher.leave(Millis(10_100), *place, bare(EndKind::Done))));
+    }
+
+    assert!(granted.iter().any(|(place, _)| *place == small));
+}
+
+#[test]
+fn aged_work_gets_a_share_although_more_urgent_work_waits() {
+    let mut dispatcher = dispatcher(4);
+    let mut now = Millis(10_000);
+    let mut running: Vec<PlaceKey> = (0..13).map(|id| dispatcher.enter(now, request(id, "c1", 2, now)).0).collect();
+    let (plan, _) = dispatcher.enter(now, request(100, "c2", 4, now));
+    let mut next = 200;
+    let mut granted_plan = false;
+
+    for _ in 0..400 {
+        now = now + Millis(500);
+        dispatcher.enter(now, request(next, "c1", 2, now));
+        next += 1;
+        let place = running.remove(0);
+        for (granted, _) in grants(&dispatcher.leave(now, place, bare(EndKind::Done))) {
+            granted_plan = granted_plan || granted == plan;
+            running.push(granted);
+        }
+        if granted_plan || running.is_empty() {
+            break;
+        }
+    }
+
+    assert!(granted_plan);
+}
+
+#[test]
+fn urgent_work_is_refused_only_while_no_lesser_work_begins() {
+    let mut dispatcher = dispatcher(1);
+    let now = Millis(10_000);
+    let running: Vec<PlaceKey> = (0..4).map(|id| dispatcher.enter(now, request(id, "c1", 1, now)).0).collect();
+    for id in 10..20 {
+        dispatcher.enter(now, request(id, "c2", 4, Millis(0)));
+    }
+    let mut refusals = 0;
+    for id in 100..200 {
+        let (_, actions) = dispatcher.enter(now, request(id, "c1", 1, now));
+        refusals += u32::from(refused(&actions) == Some(ResultCode::Overloaded));
+    }
+
+    let actions = dispatcher.leave(Millis(10_050), running[0], bare(EndKind::Done));
+
+    let lesser = dispatcher.stats().waiting[4];
+    assert!(refusals > 0);
+    assert_eq!(grants(&actions).len(), 1);
+    assert_eq!(lesser, 10);
+}
+
+#[test]
+fn urgent_work_takes_a_runner_back_from_lesser_work() {
+    let mut dispatcher = dispatcher(1);
+    let now = Millis(10_000);
+    let plans: Vec<PlaceKey> = (0..3).map(|id| dispatcher.enter(now, request(id, "c1", 4, now)).0).collect();
+    dispatcher.enter(now, request(10, "c1", 1, now));
+    let (waiting, _) = dispatcher.enter(now, request(11, "c1", 1, now));
+
+    let later = Millis(11_000);
+    let actions = dispatcher.tick(later);
+    let preempted = actions.iter().find_map(|action| match action {
+        DispatchAction::Preempt { place } => Some(*place),
+        _ => None,
+    });
+    let freed = dispatcher.leave(later, preempted.expect("a plan is preempted"), bare(EndKind::Cancelled));
+
+    assert!(plans.contains(&preempted.expect("a plan is preempted")));
+    assert_eq!(grants(&freed), [(waiting, runner(0).name)]);
+}
+
+#[test]
+fn a_request_that_ran_before_goes_before_fresh_ones_of_its_tier() {
+    let mut dispatcher = dispatcher(1);
+    let now = Millis(10_000);
+    let running: Vec<PlaceKey> = (0..3).map(|id| dispatcher.enter(now, request(id, "c1", 3, now)).0).collect();
+    dispatcher.enter(now, request(10, "c2", 3, now));
+    let again = Descriptor { admitted: true, ..request(11, "c1", 3, now) };
+    let (resumed, _) = dispatcher.enter(now, again);
+
+    let actions = dispatcher.leave(Millis(10_500), running[0], bare(EndKind::Done));
+
+    assert_eq!(grants(&actions).first().map(|(place, _)| *place), Some(resumed));
+}
+
+#[test]
+fn work_that_would_outlast_its_callers_patience_does_not_begin() {
+    let mut dispatcher = dispatcher(1);
+    let now = Millis(10_000);
+    let running: Vec<PlaceKey> = (0..4).map(|id| dispatcher.enter(now, request(id, "c1", 1, now)).0).collect();
+    let (plan, _) = dispatcher.enter(now, request(10, "c2", 4, now));
+
+    let late = now + Millis(199_900);
+    let actions = dispatcher.leave(late, running[0], bare(EndKind::Done));
+
+    assert_eq!(refused(&actions), Some(ResultCode::PatienceOver));
+    assert!(grants(&actions).iter().all(|(place, _)| *place != plan));
+}
+
+/// Runs poison among companions until it is refused; returns the number of crashes.
+fn crash_until_refused(dispatcher: &mut Dispatcher, poison: u64, innocents: &[u64]) -> u32 {
+    let mut now = Millis(10_000);
+    let mut running: Vec<(u64, PlaceKey, RunnerName)> = Vec::new();
+    let mut waiting: Vec<(u64, PlaceKey)> = Vec::new();
+    let mut crashes = 0;
+    let mut arrivals: Vec<u64> = innocents.to_vec();
+    arrivals.push(poison);
+    let mut actions = Vec::new();
+    for _ in 0..200 {
+        now = now + Millis(100);
+        for id in std::mem::take(&mut arrivals) {
+            let admitted = crashes > 0;
+            let (place, more) = dispatcher.enter(now, Descriptor { admitted, ..request(id, "c1", 1, now) });
+            if refused(&more) == Some(ResultCode::Condemned) {
+                assert_eq!(id, poison, "an innocent request was refused");
+                return crashes;
+            }
+            waiting.push((id, place));
+            actions.extend(more);
+        }
+        for number in 0..2 {
+            actions.extend(dispatcher.report(now, &runner(number).name, LoadReport { running: 0, step_us: 0 }));
+        }
+        actions.extend(dispatcher.tick(now));
+        for (place, name) in grants(&std::mem::take(&mut actions)) {
+            let index = waiting.iter().position(|(_, key)| *key == place).expect("a known place");
+            let (id, _) = waiting.remove(index);
+            running.push((id, place, name));
+        }
+        let Some(index) = running.iter().position(|(id, ..)| *id == poison) else {
+            for (_, place, _) in std::mem::take(&mut running) {
+                actions.extend(dispatcher.leave(now, place, bare(EndKind::Done)));
+            }
+            continue;
+        };
+        crashes += 1;
+        let crashed = running[index].2.clone();
+        let (hit, rest): (Vec<_>, Vec<_>) = running.drain(..).partition(|(.., name)| *name == crashed);
+        running = rest;
+        for (id, place, _) in hit {
+            actions.extend(dispatcher.leave(now, place, bare(EndKind::Broken)));
+            arrivals.push(id);
+        }
+    }
+    panic!("the request that crashes its runners was never refused");
+}
+
+#[test]
+fn a_request_that_crashes_its_runners_is_told_from_its_companions() {
+    let mut dispatcher = dispatcher(2);
+
+    let crashes = crash_until_refused(&mut dispatcher, 666, &[1, 2, 3, 4, 5]);
+
+    assert!(crashes <= 3, "it crashed {crashes} runners");
+    assert_eq!(dispatcher.condemned(), [Fingerprint(666)]);
+}
+
+#[test]
+fn a_refusal_decided_elsewhere_holds_here() {
+    let mut dispatcher = dispatcher(1);
+
+    dispatcher.condemn(Fingerprint(7));
+    let (_, actions) = dispatcher.enter(Millis(10_000), request(7, "c1", 1, Millis(10_000)));
+
+    assert_eq!(refused(&actions), Some(ResultCode::Condemned));
+}
+
+#[test]
+fn a_straggler_is_ejected_and_let_back() {
+    let mut dispatcher = dispatcher(4);
+    let report = |step_us| LoadReport { running: 1, step_us };
+    let now = Millis(10_000);
+    for number in 0..4 {
+        let step_us = if number == 2 { 200_000 } else { 25_000 };
+        dispatcher.report(now, &runner(number).name, report(step_us));
+    }
+
+    let actions = dispatcher.tick(Millis(10_100));
+    let places_then = dispatcher.stats().places;
+    dispatcher.report(Millis(11_000), &runner(2).name, report(26_000));
+    for tick in 1..6 {
+        dispatcher.tick(Millis(11_000 + tick * 100));
+    }
+
+    assert!(actions.contains(&DispatchAction::Eject { runner: runner(2).name }));
+    assert_eq!(places_then, PLACES * 3 + 1);
+    assert_eq!(dispatcher.stats().places, PLACES * 4);
+}
+
+#[test]
+fn a_new_dispatcher_counts_what_the_old_one_granted() {
+    let mut dispatcher = Dispatcher::new(DispatchSettings::default(), Millis(0));
+    dispatcher.set_runners(Millis(0), vec![runner(0)]);
+    for id in 0..4 {
+        let held = Descriptor { holding: Some(runner(0).name), ..request(id, "c1", 1, Millis(0)) };
+        dispatcher.enter(Millis(100), held);
+    }
+
+    let (_, actions) = dispatcher.enter(Millis(200), request(9, "c1", 1, Millis(200)));
+
+    assert_eq!(grants(&actions), []);
+    assert_eq!(dispatcher.stats().running, 4);
+}
+
+#[test]
+fn lagging_reports_are_corrected_by_own_counts() {
+    let mut dispatcher = dispatcher(2);
+    let now = Millis(20_000);
+    for id in 0..4 {
+        dispatcher.enter(now, request(id, "c1", 1, now));
+    }
+
+    dispatcher.report(now, &runner(0).name, LoadReport { running: 0, step_us: 0 });
+    dispatcher.report(now, &runner(1).name, LoadReport { running: 4, step_us: 0 });
+    let granted = (10..14).flat_map(|id| grants(&dispatcher.enter(now, request(id, "c1", 1, now)).1)).count();
+
+    assert_eq!(granted, 4);
+}
+
+#[test]
+fn a_cached_prefix_attracts_only_while_its_runner_is_not_overloaded() {
+    let mut dispatcher = dispatcher(4);
+    let now = Millis(10_000);
+    let alike = |id| Descriptor { prefix: Fingerprint(77), ..request(id, "c1", 3, now) };
+
+    let granted: Vec<RunnerName> =
+        (0..8).flat_map(|id| grants(&dispatcher.enter(now, alike(id)).1)).map(|(_, name)| name).collect();
+
+    let most = (0..4).map(|number| granted.iter().filter(|name| **name == runner(number).name).count()).max();
+    assert_eq!(granted[0], granted[1]);
+    assert!(most < Some(8));
+}
+
+#[test]
+fn a_refused_request_that_returns_keeps_its_age() {
+    let mut dispatcher = dispatcher(1);
+    let now = Millis(10_000);
+    for id in 0..4 {
+        dispatcher.enter(now, request(id, "c1", 1, now));
+    }
+    let mut refused_id = None;
+    for id in 100..300 {
+        let (_, actions) = dispatcher.enter(now, request(id, "c1", 1, now));
+        if refused(&actions).is_some() {
+            refused_id = Some(id);
+            break;
+        }
+    }
+    let id = refused_id.expect("the queue fills");
+
+    let later = Millis(13_900);
+    let (_, actions) = dispatcher.enter(later, request(id, "c1", 1, later));
+
+    assert_eq!(refused(&actions), Some(ResultCode::Overloaded));
+}
