--- /dev/null
+++ b/crates/parts/tests/parts.rs
@@ -0,0 +1,180 @@
+//! Each coordination part on its own.
+
+#![allow(clippy::expect_used)]
+
+use quickcheck::{Gen, QuickCheck};
+use teaselcroft_parts::{
+    ConfigRegister, ConfigValue, DaemonName, Fingerprint, Gap, GapWitness, Incarnation, KeyDigest, LeaseClock, Member,
+    Membership, MembershipSettings, Millis, PeerHealth, RetryBudget, RetryBudgetSettings, SlotId, SlotRecord,
+    SlotRecordWire, WitnessAnswer, slot_of, winner,
+};
+
+const TESTS: u64 = 10_000;
+
+fn check<A: quickcheck::Testable>(property: A) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(50, 1)).tests(TESTS).quickcheck(property);
+}
+
+fn member(name: &str, life: u64) -> Member {
+    Member { name: name.parse().expect("a name"), incarnation: Incarnation(life) }
+}
+
+#[test]
+fn a_configuration_never_reverts_whatever_order_news_arrives_in() {
+    fn holds(versions: Vec<u8>) -> bool {
+        let team: teaselcroft_parts::TeamName = "harvest".parse().expect("a name");
+        let mut register = ConfigRegister::default();
+        let mut highest = 0;
+        versions.into_iter().all(|version| {
+            let version = u64::from(version);
+            let fresh = register.offer(team.clone(), ConfigValue { version, value: vec![] });
+            let rose = version > highest;
+            highest = highest.max(version);
+            let held = register.get(&team).map_or(0, |held| held.version);
+            fresh == rose && held == highest && register.clock() == highest
+        })
+    }
+    check(holds as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn a_lease_is_judged_from_before_its_renewal_was_sent() {
+    let mut lease = LeaseClock::new(Millis(5_000), Millis(500));
+
+    lease.renewed(Millis(1_000));
+
+    assert!(lease.is_valid(Millis(5_499)));
+    assert!(!lease.is_valid(Millis(5_500)));
+}
+
+#[test]
+fn a_late_answer_to_an_old_renewal_does_not_shorten_a_lease() {
+    let mut lease = LeaseClock::new(Millis(5_000), Millis(0));
+
+    lease.renewed(Millis(3_000));
+    lease.renewed(Millis(1_000));
+
+    assert!(lease.is_valid(Millis(7_999)));
+}
+
+#[test]
+fn retries_stay_a_share_of_first_attempts() {
+    let mut budget = RetryBudget::new(RetryBudgetSettings { earned_milli: 200, saved_max: 5 });
+    while budget.retry() {}
+
+    let allowed = (0..100).filter(|_| {
+        budget.attempt();
+        budget.retry()
+    });
+
+    assert_eq!(allowed.count(), 20);
+}
+
+#[test]
+fn a_silent_peer_is_dead_and_a_refusing_one_at_once() {
+    let mut members = Membership::new(MembershipSettings::default(), member("entry-1", 1));
+    let (second, third) = (member("entry-2", 1), member("entry-3", 1));
+    members.heard(Millis(0), &second, false);
+    members.heard(Millis(0), &third, false);
+
+    members.refused(&third.name);
+
+    assert!(members.is_alive(Millis(1_999), &second));
+    assert_eq!(members.health(Millis(2_000), &second.name), PeerHealth::Dead);
+    assert_eq!(members.health(Millis(1), &third.name), PeerHealth::Dead);
+}
+
+#[test]
+fn an_old_incarnation_is_not_taken_for_the_new_one() {
+    let mut members = Membership::new(MembershipSettings::default(), member("entry-1", 1));
+    let (old, new) = (member("entry-2", 1), member("entry-2", 2));
+
+    members.heard(Millis(10), &new, false);
+    members.heard(Millis(20), &old, false);
+
+    assert!(members.is_alive(Millis(30), &new));
+    assert!(!members.is_alive(Millis(30), &old));
+}
+
+#[test]
+fn a_daemon_that_was_paused_does_not_take_all_others_for_dead() {
+    let mut members = Membership::new(MembershipSettings::default(), member("entry-1", 1));
+    let second = member("entry-2", 1);
+    members.heard(Millis(0), &second, false);
+
+    members.resumed(Millis(60_000));
+
+    assert!(members.is_alive(Millis(60_100), &second));
+}
+
+#[test]
+fn a_witness_that_answered_a_successor_gives_no_consent() {
+    let mut witness = GapWitness::default();
+    let (slot, owner) = (SlotId(3), Incarnation(9));
+
+    let answer = witness.ask(slot, 5, owner);
+
+    assert_eq!(answer, WitnessAnswer::NoGap);
+    assert!(!witness.record(slot, 5..=6, owner));
+    assert!(witness.record(slot, 6..=6, owner));
+}
+
+#[test]
+fn a_witness_that_consented_says_so() {
+    let mut witness = GapWitness::default();
+    let (slot, owner) = (SlotId(3), Incarnation(9));
+
+    let consented = witness.record(slot, 5..=6, owner);
+
+    assert!(consented);
+    assert_eq!(witness.ask(slot, 6, owner), WitnessAnswer::Gap);
+    assert!(!witness.record(slot, 6..=6, owner));
+}
+
+#[test]
+fn one_candidate_fewer_moves_only_its_own_subjects() {
+    let names: Vec<DaemonName> = (1..=6).map(|number| format!("entry-{number}").parse().expect("a name")).collect();
+    let all = || names.iter().map(DaemonName::as_str);
+    let fewer = || names.iter().skip(1).map(DaemonName::as_str);
+
+    let moved = (0..200).filter(|slot| {
+        let subject = format!("slot/{slot}");
+        let before = winner(&subject, all());
+        before != Some("entry-1") && before != winner(&subject, fewer())
+    });
+
+    assert_eq!(moved.count(), 0);
+}
+
+#[test]
+fn slots_and_digests_survive_their_wire_forms() {
+    fn holds(high: u64, low: u64, epoch: u64, claims: Vec<u64>) -> bool {
+        let digest = KeyDigest::from_halves(high, low);
+        let record = SlotRecord {
+            owner: Some(member("entry-1", epoch)),
+            epoch,
+            write: low,
+            gap: Gap::Witnessed,
+            witnesses: vec![member("entry-2", high)],
+            claims: claims.into_iter().map(|claim| KeyDigest::from_halves(claim, low)).collect(),
+        };
+        let text = serde_json::to_string(&SlotRecordWire::from(&record)).expect("a record is JSON");
+        let wire: SlotRecordWire = serde_json::from_str(&text).expect("a record is read back");
+        let same = SlotRecord::try_from(wire) == Ok(record);
+        same && digest.to_string().parse() == Ok(digest) && slot_of(digest, 8).0 < 8
+    }
+    check(holds as fn(u64, u64, u64, Vec<u64>) -> bool);
+}
+
+#[test]
+fn names_and_fingerprints_never_panic() {
+    fn holds(text: String) -> bool {
+        let name: Result<DaemonName, _> = text.parse();
+        let fine = name.is_ok_and(|name| name.as_str() == text);
+        let _: Result<Fingerprint, _> = text.parse();
+        let _: Result<KeyDigest, _> = text.parse();
+        let _: Result<Millis, _> = text.parse();
+        fine || text.is_empty() || text.len() > 128 || text.chars().any(char::is_control)
+    }
+    check(holds as fn(String) -> bool);
+}
--- /dev/null
+++ b/crates/router/src/fuzz.rs
@@ -0,0 +1,26 @@
+//! An entry for fuzzers of peers' messages.
+
+use prost::Message;
+
+use crate::execute::Call;
+use crate::generated::{DispatchDown, DispatchUp, ExecuteRequest, Heartbeat};
+use crate::place_event::PlaceEvent;
+use crate::place_request::{PlaceRequest, outcome_from_wire};
+use crate::pulse::Pulse;
+
+/// Reads `bytes` as each message that a peer may send; what cannot be read is dropped.
+pub fn fuzz_peer_message(bytes: &[u8]) {
+    if let Ok(wire) = Heartbeat::decode(bytes) {
+        let _ = Pulse::try_from(wire);
+    }
+    if let Ok(wire) = DispatchUp::decode(bytes) {
+        let _ = PlaceRequest::try_from(wire.clone());
+        let _ = outcome_from_wire(wire);
+    }
+    if let Ok(wire) = DispatchDown::decode(bytes) {
+        let _ = PlaceEvent::try_from(wire);
+    }
+    if let Ok(wire) = ExecuteRequest::decode(bytes) {
+        let _ = Call::try_from(wire);
+    }
+}
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -10,6 +10,7 @@
 use teaselcroft_parts::{DaemonName, ModelName};
 use teaselcroft_policy::Outcome;
 
+use crate::Event;
 use crate::command::Command;
 use crate::generated::{DispatchDown, DispatchUp};
 use crate::node::Node;
@@ -48,6 +49,9 @@
         let (ends, ends_out) = bounded(1);
         let place = Place { events, ends };
         let dispatcher = node.view().dispatchers.get(&request.upstream).cloned();
+        let chosen = dispatcher.as_ref().map_or("none yet", |name| name.as_str());
+        let grounds = format!("dispatcher of {} is {chosen}, waited {}", request.upstream, request.waited);
+        node.decide(&request.request, Event::DispatcherChosen, grounds);
         if delay.is_zero() && dispatcher.as_ref() == Some(&node.me.name) {
             node.tell(Command::Enter { place: request, events: events_in, ends: ends_out });
             return place;
--- /dev/null
+++ b/crates/router/tests/inputs.rs
@@ -0,0 +1,116 @@
+//! Whatever arrives from outside is read without a panic.
+
+#![allow(clippy::expect_used)]
+
+use quickcheck::{Gen, QuickCheck};
+use teaselcroft_policy::Questionnaire;
+use teaselcroft_router::engine::{GenerateWire, OrderWire, ReportWire};
+use teaselcroft_router::vm_list::Vms;
+use teaselcroft_router::{ChatRequest, Settings, fuzz_peer_message};
+
+const TESTS: u64 = 10_000;
+const SETTINGS: &str = include_str!("../../../docs/settings.yaml");
+const CHAT: &str = r#"{"model":"quick-question","stream":true,"messages":[{"role":"user","content":"weed?"}]}"#;
+const ANSWERS: &str = include_str!("../../../sites/reservoir/harvest.yaml");
+
+fn check<A: quickcheck::Testable>(property: A) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 1)).tests(TESTS).quickcheck(property);
+}
+
+/// `text` with some of its bytes changed, dropped or doubled.
+fn mutated(text: &str, edits: Vec<(u16, u8)>) -> Vec<u8> {
+    let mut bytes = text.as_bytes().to_vec();
+    for (at, byte) in edits {
+        let index = usize::from(at) % bytes.len().max(1);
+        match byte % 3 {
+            0 if bytes.len() > 1 => {
+                bytes.remove(index);
+            }
+            1 => bytes.insert(index, byte),
+            _ => bytes[index] = byte,
+        }
+    }
+    bytes
+}
+
+#[test]
+fn chat_requests_never_panic() {
+    fn holds(edits: Vec<(u16, u8)>, noise: Vec<u8>) -> bool {
+        if let Ok(request) = ChatRequest::parse(&mutated(CHAT, edits)) {
+            let customer = "c1".parse().expect("a name");
+            let _ = (request.fingerprint(&customer), request.prefix(), request.prompt_tokens());
+        }
+        ChatRequest::parse(&noise).is_err()
+    }
+    check(holds as fn(Vec<(u16, u8)>, Vec<u8>) -> bool);
+}
+
+#[test]
+fn settings_never_panic() {
+    fn holds(edits: Vec<(u16, u8)>) -> bool {
+        let text = String::from_utf8_lossy(&mutated(SETTINGS, edits)).into_owned();
+        Settings::parse(&text).is_ok_and(|settings| settings.limits.slots > 0) || Settings::parse(&text).is_err()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 1))
+        .tests(TESTS / 10)
+        .quickcheck(holds as fn(Vec<(u16, u8)>) -> bool);
+}
+
+#[test]
+fn questionnaires_never_panic() {
+    fn holds(edits: Vec<(u16, u8)>) -> bool {
+        let text = String::from_utf8_lossy(&mutated(ANSWERS, edits)).into_owned();
+        let read: Result<Questionnaire, _> = serde_saphyr::from_str(&text);
+        let Ok(answers) = read else {
+            return true;
+        };
+        let accepted = answers.check().is_ok();
+        accepted == teaselcroft_policy::TeamConfig::generate(answers, 1, String::new()).is_ok()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 1))
+        .tests(TESTS / 10)
+        .quickcheck(holds as fn(Vec<(u16, u8)>) -> bool);
+}
+
+#[test]
+fn peer_and_platform_messages_never_panic() {
+    fn holds(noise: Vec<u8>) -> bool {
+        fuzz_peer_message(&noise);
+        let _: Result<Vms, _> = serde_json::from_slice(&noise);
+        let _: Result<GenerateWire, _> = serde_json::from_slice(&noise);
+        let _: Result<OrderWire, _> = serde_json::from_slice(&noise);
+        let _: Result<ReportWire, _> = serde_json::from_slice(&noise);
+        true
+    }
+    check(holds as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn the_reference_settings_load() {
+    let settings = Settings::parse(SETTINGS).expect("the reference settings are valid");
+
+    assert_eq!(settings.daemon.as_str(), "entry-1");
+}
+
+#[test]
+fn a_wrong_setting_is_named_with_its_line() {
+    let unknown = SETTINGS.replace("zone: fayon", "zoned: fayon");
+    let out_of_bounds = SETTINGS.replace("slots: 8", "slots: 0");
+
+    let unknown = Settings::parse(&unknown).expect_err("an unknown key is refused");
+    let out_of_bounds = Settings::parse(&out_of_bounds).expect_err("a value out of bounds is refused");
+
+    assert!(unknown.contains("zoned") && unknown.contains("line"), "{unknown}");
+    assert!(out_of_bounds.contains("limits.slots"), "{out_of_bounds}");
+}
+
+#[test]
+fn keys_are_not_shown() {
+    let settings = Settings::parse(SETTINGS).expect("the reference settings are valid");
+
+    let shown = format!("{settings:?}");
+
+    assert!(!shown.contains("change-this"), "{shown}");
+}
