--- a/crates/parts/src/membership.rs
+++ b/crates/parts/src/membership.rs
@@ -53,6 +53,11 @@
         Membership { settings, me, leaving: false, peers: BTreeMap::new() }
     }
 
+    /// Changes how long a peer may be silent before it counts as dead.
+    pub fn set_dead_after(&mut self, dead_after: Millis) {
+        self.settings.dead_after = dead_after;
+    }
+
     /// This daemon.
     pub const fn me(&self) -> &Member {
         &self.me
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Descriptor, DispatchSettings, EndKind, FairQueue, HoldTimes, LoadReport, Outcome, PrefixMap, ResultCode, Returning,
-    RunnerInfo, RunnerKey, RunnerPool, Suspects, Tier,
+    RunnerInfo, RunnerKey, RunnerPool, Suspects, Suspicion, Tier,
 };
 
 const MIN_RETRY: Millis = Millis(200);
@@ -90,6 +90,7 @@
     request: Descriptor,
     state: State,
     expected: Millis,
+    suspect: bool,
 }
 
 #[derive(Debug, Default)]
@@ -218,7 +219,7 @@
             request.arrival = request.arrival.min(first);
         }
         let expected = self.holds.expected(&request.class, &request.rule);
-        let place = self.places.insert(Place { request, state: State::Waiting, expected });
+        let place = self.places.insert(Place { request, state: State::Waiting, expected, suspect: false });
         if let Some((code, retry)) = self.refusal(now, place) {
             if let Some(Place { request, .. }) = self.places.remove(place) {
                 let until = request.arrival + request.rule.patience;
@@ -289,7 +290,7 @@
         let queue = &mut self.tiers[request.rule.tier.index()];
         queue.waiting += 1;
         queue.hold_ms += place.expected.0;
-        if self.suspects.is_suspect(request.fingerprint) {
+        if self.suspects.suspicion(request.fingerprint) != Suspicion::None {
             self.apart.push_back(key);
             let places = &self.places;
             let tier = |key: &PlaceKey| places.get(*key).map(|place| place.request.rule.tier);
@@ -355,6 +356,9 @@
         }
         if let Some(runner) = runner {
             self.pool.end(runner, tier.is_urgent());
+            if place.suspect {
+                self.pool.count_suspect(runner, false);
+            }
         }
     }
 
@@ -411,21 +415,31 @@
         }
     }
 
-    /// Runs suspects without companions, on runners kept free for them.
+    /// Runs suspects: those of one crash on runners without another, the others without companions.
     fn pump_apart(&mut self, now: Millis, actions: &mut Vec<DispatchAction>) {
-        let places = &self.places;
-        self.apart.retain(|key| Dispatcher::is_waiting(places, *key));
-        let most = (self.pool.len() / 4).max(1);
-        while let Some(key) = self.apart.front().copied() {
-            let Some(runner) = self.pool.empty_runner() else {
-                break;
+        let mut isolated = 0;
+        for key in std::mem::take(&mut self.apart) {
+            let Some(place) = self.places.get(key).filter(|place| matches!(place.state, State::Waiting)) else {
+                continue;
+            };
+            let urgent = place.request.rule.tier.is_urgent();
+            let alone = self.suspects.suspicion(place.request.fingerprint) == Suspicion::Alone;
+            let runner = if alone { self.pool.empty_runner() } else { self.pool.least_loaded_clean(urgent) };
+            let Some(runner) = runner else {
+                isolated += usize::from(alone);
+                self.apart.push_back(key);
+                continue;
             };
-            self.apart.pop_front();
             self.dequeued(key);
-            let until = now + self.settings.alone_for;
-            actions.extend(self.grant(now, key, runner, "suspect runs alone", Some(until)));
+            self.pool.count_suspect(runner, true);
+            if let Some(place) = self.places.get_mut(key) {
+                place.suspect = true;
+            }
+            let until = alone.then_some(now + self.settings.alone_for);
+            actions.extend(self.grant(now, key, runner, "suspect runs apart", until));
         }
-        self.pool.reserve(self.apart.len().min(most));
+        let most = (self.pool.len() / 4).max(1);
+        self.pool.reserve(isolated.min(most));
     }
 
     /// The request that goes next: urgent ones, then those that ran before, then by tier.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,6 @@
 pub use runner::{LoadReport, RunnerInfo};
 pub use runner_pool::{RunnerKey, RunnerPool};
 pub use silence_bound::SilenceBound;
-pub use suspects::Suspects;
+pub use suspects::{Suspects, Suspicion};
 pub use team_config::TeamConfig;
 pub use tier::Tier;
--- a/crates/policy/src/runner.rs
+++ b/crates/policy/src/runner.rs
@@ -38,6 +38,7 @@
     pub(crate) reserved: bool,
     pub(crate) fast: bool,
     pub(crate) lesser: u32,
+    pub(crate) suspects: u32,
     pub(crate) crash: Option<(Millis, u32)>,
     pub(crate) step_us: u64,
 }
@@ -55,6 +56,7 @@
             reserved: false,
             fast: false,
             lesser: 0,
+            suspects: 0,
             crash: None,
             step_us: 0,
         }
--- a/crates/policy/src/runner_pool.rs
+++ b/crates/policy/src/runner_pool.rs
@@ -177,6 +177,20 @@
         best.map(|(_, key)| *key)
     }
 
+    /// The least loaded runner with room and no suspect.
+    pub fn least_loaded_clean(&self, urgent: bool) -> Option<RunnerKey> {
+        let clean = |(_, key): &&Room| self.runners.get(*key).is_some_and(|runner| runner.suspects == 0);
+        let fast = if urgent { self.open_fast.iter().find(clean) } else { None };
+        fast.or_else(|| self.open_shared.iter().find(clean)).map(|(_, key)| *key)
+    }
+
+    /// Counts a suspect at `key`, or one fewer.
+    pub fn count_suspect(&mut self, key: RunnerKey, more: bool) {
+        self.update(key, |runner| {
+            runner.suspects = if more { runner.suspects + 1 } else { runner.suspects.saturating_sub(1) };
+        });
+    }
+
     /// Keeps as many runners fast as `urgent` urgent requests at once need.
     pub fn keep_fast(&mut self, urgent: u32) {
         let usable = self.runners.values().filter(|runner| runner.is_usable()).count();
--- a/crates/policy/tests/dispatcher.rs
+++ b/crates/policy/tests/dispatcher.rs
@@ -131,13 +131,11 @@
     let mut now = Millis(10_000);
     let mut running: Vec<PlaceKey> = (0..13).map(|id| dispatcher.enter(now, request(id, "c1", 2, now)).0).collect();
     let (plan, _) = dispatcher.enter(now, request(100, "c2", 4, now));
-    let mut next = 200;
     let mut granted_plan = false;
 
-    for _ in 0..400 {
+    for id in 200..600 {
         now = now + Millis(500);
-        dispatcher.enter(now, request(next, "c1", 2, now));
-        next += 1;
+        dispatcher.enter(now, request(id, "c1", 2, now));
         let place = running.remove(0);
         for (granted, _) in grants(&dispatcher.leave(now, place, bare(EndKind::Done))) {
             granted_plan = granted_plan || granted == plan;
@@ -279,6 +277,26 @@
     assert_eq!(dispatcher.condemned(), [Fingerprint(666)]);
 }
 
+#[test]
+fn the_companions_of_one_crash_run_again_at_once() {
+    let mut dispatcher = dispatcher(6);
+    let now = Millis(10_000);
+    let alike = |id| Descriptor { prefix: Fingerprint(5), ..request(id, "c1", 3, now) };
+    let entered: Vec<PlaceKey> = (0..4).map(|id| dispatcher.enter(now, alike(id)).0).collect();
+    for place in entered {
+        dispatcher.leave(now, place, bare(EndKind::Broken));
+    }
+
+    let again = |id| Descriptor { admitted: true, ..alike(id) };
+    let granted: Vec<RunnerName> =
+        (0..4).flat_map(|id| grants(&dispatcher.enter(Millis(10_050), again(id)).1)).map(|(_, name)| name).collect();
+
+    let mut apart = granted.clone();
+    apart.sort();
+    apart.dedup();
+    assert_eq!((granted.len(), apart.len()), (4, 4));
+}
+
 #[test]
 fn a_refusal_decided_elsewhere_holds_here() {
     let mut dispatcher = dispatcher(1);
--- a/crates/router/src/control/peers.rs
+++ b/crates/router/src/control/peers.rs
@@ -20,10 +20,13 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Bytes that one exchange of heartbeats puts on the wire, both ways.
-const EXCHANGE_BYTES: u64 = 400;
+const EXCHANGE_BYTES: u64 = 360;
 
-/// Bytes a second that heartbeats of one daemon may take.
-const HEARTBEAT_BUDGET: u64 = 6_000;
+/// Bytes a second that one daemon's heartbeats may take, both ways.
+const HEARTBEAT_BUDGET: u64 = 2_000;
+
+/// Rounds of heartbeats without a word after which a peer counts as dead.
+const SILENT_ROUNDS: u64 = 3;
 
 /// Background tasks of the control thread and what they last saw.
 #[derive(Debug, Default)]
@@ -33,9 +36,9 @@
     health: BTreeMap<DaemonName, bool>,
 }
 
-/// The time between heartbeats to each of `peers` peers, at least `shortest`.
-pub fn heartbeat_every(shortest: Millis, peers: usize) -> Millis {
-    let bytes = EXCHANGE_BYTES * peers as u64;
+/// The time between heartbeats of each pair in a cell of `daemons`, at least `shortest`.
+pub fn heartbeat_every(shortest: Millis, daemons: usize) -> Millis {
+    let bytes = EXCHANGE_BYTES * daemons.saturating_sub(1) as u64;
     shortest.max(Millis(bytes * 1_000 / HEARTBEAT_BUDGET))
 }
 
@@ -54,6 +57,15 @@
         }
     }
 
+    /// Lets peers be silent for as long as the time between heartbeats allows.
+    fn judge_silence(&mut self) {
+        let limits = &self.node.settings.limits;
+        let shortest = Millis(limits.heartbeat_ms);
+        let every = heartbeat_every(shortest, self.vms.entries.len());
+        let least = limits.heartbeat_ms * limits.heartbeats_missed;
+        self.members.set_dead_after(Millis(least.max(every.0 * SILENT_ROUNDS)));
+    }
+
     /// Takes in the VM list and starts to talk to what is new on it.
     pub(super) fn listed(&mut self, vms: Vms) {
         if vms == self.vms {
@@ -61,6 +73,7 @@
         }
         self.vms = vms;
         let now = self.now();
+        self.judge_silence();
         self.set_runners(now);
         self.publish(now);
         let names: Vec<DaemonName> = self.vms.entries.iter().map(|vm| vm.name.clone()).collect();
@@ -109,15 +122,16 @@
 
 /// Exchanges heartbeats with `peer` once.
 async fn exchange<P: Platform>(node: &Node<P>, peer: &DaemonName) {
+    let pulse = node.pulse();
     let send = async {
         let mut client = node.client(peer).await?;
-        let reply = client.exchange(node.pulse()).await.map_err(|_| PeerError::Silent)?;
+        let reply = client.exchange(pulse.clone()).await.map_err(|_| PeerError::Silent)?;
         Ok(reply.into_inner())
     };
     let reply: Result<_, PeerError> = within(EXCHANGE_TIMEOUT, Err(PeerError::Silent), send).await;
-    node.metrics.control_bytes.inc_by(EXCHANGE_BYTES / 2);
     match reply {
         Ok(wire) => {
+            node.metrics.count_heartbeats(&pulse, &wire);
             if let Ok(pulse) = Pulse::try_from(wire) {
                 node.tell(Command::Heard(pulse));
             }
@@ -126,12 +140,17 @@
     }
 }
 
+/// Exchanges heartbeats with `peer` again and again. Of each pair the first by name begins; the
+/// other begins while it does not hear the first.
 async fn exchange_forever<P: Platform>(node: Arc<Node<P>>, peer: DaemonName) {
     let shortest = Millis(node.settings.limits.heartbeat_ms);
     loop {
-        exchange(&node, &peer).await;
-        let peers = node.view().entries.len();
-        let every = Duration::from(heartbeat_every(shortest, peers));
+        let view = node.view();
+        let heard = view.open.iter().any(|entry| entry.name == peer);
+        if node.me.name < peer || !heard {
+            exchange(&node, &peer).await;
+        }
+        let every = Duration::from(heartbeat_every(shortest, view.entries.len()));
         pause(every.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
     }
 }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -7,6 +7,12 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
+use prost::Message;
+
+use crate::generated::Heartbeat;
+
+/// Bytes of headers and acknowledgements around one heartbeat: TCP, IP and HTTP/2.
+const FRAMING_BYTES: usize = 130;
 
 /// Labels of a request's end.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -40,7 +46,7 @@
     pub first_seconds: Histogram,
     /// Calls to the key-value service.
     pub store_calls: Family<StoreLabels, Counter>,
-    /// Bytes of control messages sent to peers.
+    /// Bytes of heartbeats exchanged with peers, both ways.
     pub control_bytes: Counter,
     /// Streams that went on elsewhere.
     pub resumed: Counter,
@@ -75,10 +81,20 @@
         registry.register("request_seconds", "Time from arrival to the end", self.seconds.clone());
         registry.register("first_token_seconds", "Time from arrival to the first token", self.first_seconds.clone());
         registry.register("store_calls", "Calls to the key-value service", self.store_calls.clone());
-        registry.register("control_bytes", "Bytes of control messages sent to peers", self.control_bytes.clone());
+        registry.register(
+            "control_bytes",
+            "Bytes of heartbeats exchanged with peers, both ways",
+            self.control_bytes.clone(),
+        );
         registry.register("streams_resumed", "Streams that went on elsewhere", self.resumed.clone());
     }
 
+    /// Counts the bytes of two heartbeats of an exchange.
+    pub fn count_heartbeats(&self, one: &Heartbeat, other: &Heartbeat) {
+        let bytes = one.encoded_len() + other.encoded_len() + 2 * FRAMING_BYTES;
+        self.control_bytes.inc_by(bytes as u64);
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/router/src/peer_service.rs
+++ b/crates/router/src/peer_service.rs
@@ -65,9 +65,12 @@
     type DispatchStream = Downs;
 
     async fn exchange(&self, request: Request<Heartbeat>) -> Result<Response<Heartbeat>, Status> {
-        let pulse = Pulse::try_from(request.into_inner()).map_err(|_| Status::invalid_argument("not a heartbeat"))?;
+        let wire = request.into_inner();
+        let answer = self.node.pulse();
+        self.node.metrics.count_heartbeats(&wire, &answer);
+        let pulse = Pulse::try_from(wire).map_err(|_| Status::invalid_argument("not a heartbeat"))?;
         self.node.tell(Command::Heard(pulse));
-        Ok(Response::new(self.node.pulse()))
+        Ok(Response::new(answer))
     }
 
     async fn dispatch(&self, request: Request<Streaming<DispatchUp>>) -> Result<Response<Downs>, Status> {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 mod kv_server;
 mod ledger;
 mod lifeline;
+pub mod load;
 mod operator;
 mod orders;
 mod platform;
