--- a/crates/standins/src/engine_server.rs
+++ b/crates/standins/src/engine_server.rs
@@ -15,10 +15,14 @@
 use crate::ledger::Start;
 use crate::lifeline::{Lifeline, serve};
 use crate::orders::Orders;
+use crate::trace::TraceRequest;
 use crate::world::World;
 
 const RESTART: Duration = Duration::from_millis(2_000);
 const SNAPSHOT_EVERY_MS: u64 = 50;
+/// The size of a prompt and of its answer that no trace tells of.
+const UNKNOWN_TOKENS: u32 = 20;
+
 const SNAPSHOTS: usize = 400;
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -192,11 +196,27 @@
     }
 }
 
+/// A request that no trace tells of, as when a person tries the system.
+fn unknown_request(id: &str) -> TraceRequest {
+    TraceRequest {
+        at_ms: 0,
+        id: id.to_owned(),
+        customer: String::new(),
+        class: String::new(),
+        zone: String::new(),
+        prompt_tokens: UNKNOWN_TOKENS,
+        output_tokens: UNKNOWN_TOKENS,
+        prefix: None,
+        prefix_tokens: 0,
+        key: None,
+        poison: false,
+        abandon_ms: None,
+    }
+}
+
 fn generate(engine: &EngineServer, wire: GenerateWire) -> Response {
     let id = wire.request.to_string();
-    let Some(request) = engine.world.request(&id) else {
-        return Response::new(StatusCode::NotFound);
-    };
+    let request = engine.world.request(&id).unwrap_or_else(|| Arc::new(unknown_request(&id)));
     let start = Start {
         at_ms: engine.world.now_ms(),
         runner: engine.name.clone(),
