--- a/crates/parts/src/slot_journal.rs
+++ b/crates/parts/src/slot_journal.rs
@@ -5,10 +5,12 @@
 //! however long it was paused. While the service does not answer, claims continue for as long as
 //! every witness named in the record consents, and are written when it returns.
 
-use std::collections::btree_map::Entry;
-use std::collections::{BTreeMap, BTreeSet};
+mod owned;
+
+use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
 
+use self::owned::{Claim, Origin, Owned};
 use crate::{Gap, KeyDigest, Member, Millis, OutageConsent, SlotRecord};
 
 /// Bounds of a slot's journal.
@@ -70,43 +72,6 @@
     Moved(Vec<KeyDigest>),
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Origin {
-    Own,
-    Inherited,
-}
-
-#[derive(Debug, Clone)]
-struct Claim {
-    origin: Origin,
-    at: Millis,
-}
-
-#[derive(Debug, Clone)]
-struct Flight {
-    write: CommitWrite,
-    keys: Vec<KeyDigest>,
-    catches_up: Vec<KeyDigest>,
-    sent: Millis,
-}
-
-#[derive(Debug, Clone, Default)]
-struct Owned {
-    epoch: u64,
-    version: u64,
-    claims: BTreeMap<KeyDigest, Claim>,
-    pending: Vec<KeyDigest>,
-    unjournaled: Vec<KeyDigest>,
-    flight: Option<Flight>,
-    gap: Gap,
-    gap_until: Option<Millis>,
-    committed: Millis,
-    consents: BTreeMap<Member, OutageConsent>,
-    witnesses: Vec<Member>,
-    candidates: Vec<Member>,
-    denied: bool,
-}
-
 #[derive(Debug, Clone)]
 enum Role {
     Idle,
@@ -386,114 +351,3 @@
         self.role = Role::Idle;
     }
 }
-
-impl Owned {
-    fn has_pending(&self) -> bool {
-        !self.pending.is_empty() || self.flight.as_ref().is_some_and(|flight| !flight.keys.is_empty())
-    }
-
-    fn is_waiting(&self, key: KeyDigest) -> bool {
-        self.pending.contains(&key) || self.flight.as_ref().is_some_and(|flight| flight.keys.contains(&key))
-    }
-
-    /// The witnesses of every record that the service may hold; none if one of these names none,
-    /// for a successor that reads it has nobody to ask.
-    fn all_witnesses(&self) -> BTreeSet<Member> {
-        let sent = self.flight.as_ref().map(|flight| &flight.write.record.witnesses);
-        if self.witnesses.is_empty() || sent.is_some_and(Vec::is_empty) {
-            return BTreeSet::new();
-        }
-        self.witnesses.iter().chain(sent.into_iter().flatten()).cloned().collect()
-    }
-
-    /// Whether every witness consents, and the last commit is not too long ago.
-    fn may_run_unjournaled(&self, now: Millis, outage_max: Millis) -> bool {
-        let witnesses = self.all_witnesses();
-        let consents = |witness| self.consents.get(witness).is_some_and(|consent| consent.is_valid(now));
-        !witnesses.is_empty() && now < self.committed + outage_max && witnesses.iter().all(consents)
-    }
-
-    fn is_due(&self, now: Millis, refresh_every: Millis) -> bool {
-        let gap_over = self.gap_until.is_some_and(|until| now >= until);
-        let moved = self.candidates != self.witnesses;
-        let stale = now >= self.committed + refresh_every;
-        gap_over || moved || stale || self.denied || !self.pending.is_empty() || !self.unjournaled.is_empty()
-    }
-
-    fn purge(&mut self, now: Millis, retention: Millis) {
-        self.claims.retain(|_, claim| now.since(claim.at) < retention);
-        if self.gap_until.is_some_and(|until| now >= until) {
-            self.gap_until = None;
-            self.gap = Gap::None;
-        }
-    }
-
-    fn begin_commit(&mut self, now: Millis, owner: Option<Member>, write: u64) -> CommitWrite {
-        let keys = std::mem::take(&mut self.pending);
-        let catches_up = self.unjournaled.clone();
-        let rises = self.denied || !catches_up.is_empty();
-        self.denied = false;
-        if rises {
-            // A successor that reads the new epoch asks about that one.
-            self.consents.clear();
-        }
-        let mut claims: Vec<KeyDigest> = self.claims.keys().copied().collect();
-        claims.extend(&keys);
-        let record = SlotRecord {
-            owner,
-            epoch: self.epoch + u64::from(rises),
-            write,
-            gap: self.gap,
-            witnesses: self.candidates.clone(),
-            claims,
-        };
-        let write = CommitWrite { record, expected: self.version };
-        self.flight = Some(Flight { write: write.clone(), keys, catches_up, sent: now });
-        write
-    }
-
-    fn finish_commit(&mut self, now: Millis, version: u64) -> Vec<KeyDigest> {
-        let Some(flight) = self.flight.take() else {
-            return Vec::new();
-        };
-        self.committed = flight.sent;
-        self.version = version;
-        self.epoch = flight.write.record.epoch;
-        self.witnesses = flight.write.record.witnesses;
-        self.unjournaled.retain(|key| !flight.catches_up.contains(key) && !flight.keys.contains(key));
-        if self.unjournaled.is_empty() {
-            self.consents.clear();
-        }
-        let granted = flight.keys.into_iter().filter(|key| self.grant(now, *key));
-        granted.collect()
-    }
-
-    /// Grants `key` unless it was granted before.
-    fn grant(&mut self, now: Millis, key: KeyDigest) -> bool {
-        match self.claims.entry(key) {
-            Entry::Occupied(_) => false,
-            Entry::Vacant(free) => {
-                free.insert(Claim { origin: Origin::Own, at: now });
-                true
-            }
-        }
-    }
-
-    fn grant_unjournaled(&mut self, now: Millis, key: KeyDigest) {
-        if self.grant(now, key) {
-            self.unjournaled.push(key);
-        }
-    }
-
-    fn grant_waiting(&mut self, now: Millis) -> Vec<KeyDigest> {
-        let mut waiting = std::mem::take(&mut self.pending);
-        if let Some(flight) = &self.flight {
-            waiting.extend(&flight.keys);
-        }
-        waiting.retain(|key| !self.claims.contains_key(key));
-        for key in &waiting {
-            self.grant_unjournaled(now, *key);
-        }
-        waiting
-    }
-}
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -3,26 +3,25 @@
 //! The dispatcher sees descriptors, never content. Entry daemons keep a place open for as long as
 //! a request lives, so a new dispatcher learns everything from them and nothing has to be stored.
 
+mod admission;
+mod choice;
+mod ending;
+mod order;
+mod preemption;
+
 use std::collections::{BTreeSet, VecDeque};
 
 use slotmap::{SlotMap, new_key_type};
-use teaselcroft_parts::{CustomerName, Fingerprint, Millis, RunnerName};
+use teaselcroft_parts::{Fingerprint, Millis, RunnerName};
 
 use crate::{
-    Descriptor, DispatchSettings, EndKind, FairQueue, HoldTimes, LoadReport, Outcome, PrefixMap, ResultCode, Returning,
+    Descriptor, DispatchSettings, FairQueue, HoldTimes, LoadReport, Outcome, PrefixMap, ResultCode, Returning,
     RunnerInfo, RunnerKey, RunnerPool, Suspects, Suspicion, Tier,
 };
 
-const MIN_RETRY: Millis = Millis(200);
-const MAX_RETRY: Millis = Millis(10_000);
 /// Expected time at a runner that must be left of the patience of a request that begins, in percent.
 const HOPELESS_PERCENT: u64 = 200;
 
-const PREEMPT_SHARE: u32 = 8;
-
-/// The remembered peak of urgent requests falls by one part in this many a tick.
-const PEAK_DECAY: u64 = 200;
-
 new_key_type! {
     /// Identifies a request within one dispatcher.
     pub struct PlaceKey;
@@ -200,16 +199,6 @@
         actions
     }
 
-    /// Keeps runners fast for as many urgent requests as ran or waited at once lately.
-    fn keep_fast(&mut self) {
-        let urgent = Tier::all().filter(|tier| tier.is_urgent()).map(|tier| self.tiers[tier.index()].waiting);
-        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX) - self.lesser;
-        let now_milli = u64::from(urgent.sum::<u32>() + running) * 1_000;
-        let fallen = self.urgent_milli - self.urgent_milli / PEAK_DECAY;
-        self.urgent_milli = now_milli.max(fallen);
-        self.pool.keep_fast(u32::try_from(self.urgent_milli / 1_000).unwrap_or(u32::MAX));
-    }
-
     /// Takes in a request; the answer may be among the actions.
     ///
     /// One that was refused before and comes back keeps the age it had.
@@ -234,41 +223,6 @@
         (place, self.pump(now))
     }
 
-    fn refusal(&mut self, now: Millis, key: PlaceKey) -> Option<(ResultCode, Millis)> {
-        let place = self.places.get(key)?;
-        let request = &place.request;
-        if self.suspects.is_condemned(request.fingerprint) {
-            return Some((ResultCode::Condemned, Millis(0)));
-        }
-        if request.admitted || request.holding.is_some() {
-            return None;
-        }
-        let tier = request.rule.tier;
-        let full = self.tiers[tier.index()].waiting >= request.rule.queue_limit;
-        let wait = self.expected_wait(tier, &request.customer);
-        let limit = request.rule.wait_limit();
-        let limit = limit.since(place.expected).max(Millis(limit.0 / 4));
-        let waited = now.since(request.arrival);
-        if !full && (wait == Millis(0) || waited + wait <= limit) {
-            return None;
-        }
-        if tier.is_urgent() {
-            self.refused_at = Some(now);
-        }
-        let retry = Millis(wait.0 / 2).clamp(MIN_RETRY, MAX_RETRY);
-        Some((ResultCode::Overloaded, retry))
-    }
-
-    /// The expected wait of a request of `customer` that enters `tier` now: that of all work ahead,
-    /// or of its fair share of the tier if that is less.
-    fn expected_wait(&self, tier: Tier, customer: &CustomerName) -> Millis {
-        let more_urgent: u64 = self.tiers.iter().take(tier.index()).map(|queue| queue.hold_ms).sum();
-        let queue = &self.tiers[tier.index()];
-        let mean = queue.hold_ms / u64::from(queue.waiting.max(1));
-        let share = mean.saturating_mul(queue.fair.ahead(customer) as u64);
-        Millis((more_urgent + queue.hold_ms.min(share)) / u64::from(self.pool.places().max(1)))
-    }
-
     /// Takes over a request that another dispatcher granted; true if it runs.
     fn adopt(&mut self, now: Millis, key: PlaceKey) -> bool {
         let Some(place) = self.places.get(key) else {
@@ -335,58 +289,6 @@
         actions
     }
 
-    fn end(
-        &mut self,
-        key: PlaceKey,
-        runner: Option<RunnerKey>,
-        since: Millis,
-        preempting: bool,
-        now: Millis,
-        outcome: Outcome,
-    ) {
-        let Some(place) = self.places.get(key) else {
-            return;
-        };
-        let tier = place.request.rule.tier;
-        self.running.remove(&(tier, since, key));
-        self.lesser -= u32::from(!tier.is_urgent());
-        self.preempting -= u32::from(preempting);
-        if outcome.kind == EndKind::Done {
-            self.holds.record(&place.request.class, now.since(since));
-        }
-        if let Some(runner) = runner {
-            self.pool.end(runner, tier.is_urgent());
-            if place.suspect {
-                self.pool.count_suspect(runner, false);
-            }
-        }
-    }
-
-    /// Draws conclusions about the runner and the request from how it ended.
-    fn judge(
-        &mut self,
-        now: Millis,
-        key: PlaceKey,
-        runner: Option<RunnerKey>,
-        outcome: Outcome,
-    ) -> Option<DispatchAction> {
-        let fingerprint = self.places.get(key)?.request.fingerprint;
-        match outcome.kind {
-            EndKind::Done => self.suspects.cleared(fingerprint),
-            EndKind::Refused => self.pool.down(runner?, now + self.settings.down_for),
-            EndKind::Broken => return self.judge_break(now, runner?, fingerprint),
-            EndKind::Cancelled | EndKind::Silent => {}
-        }
-        None
-    }
-
-    fn judge_break(&mut self, now: Millis, runner: RunnerKey, fingerprint: Fingerprint) -> Option<DispatchAction> {
-        let alone = self.pool.note_break(now, runner) == 1;
-        self.pool.down(runner, now + self.settings.down_for);
-        let condemned = self.suspects.crashed(fingerprint, alone, self.settings.alone_crashes);
-        condemned.then_some(DispatchAction::Condemn { fingerprint })
-    }
-
     /// Grants what can be granted and preempts what must be.
     fn pump(&mut self, now: Millis) -> Vec<DispatchAction> {
         let mut actions = Vec::new();
@@ -442,123 +344,6 @@
         self.pool.reserve(isolated.min(most));
     }
 
-    /// The request that goes next: urgent ones, then those that ran before, then by tier.
-    ///
-    /// Requests that can no longer meet their target go after all that can. An aged one goes first
-    /// now and then.
-    fn next_place(&mut self, now: Millis) -> Option<PlaceKey> {
-        let lesser_max = self.pool.places() * (100 - self.settings.reserve_percent) / 100;
-        let lesser_open = self.lesser < lesser_max.max(1) && self.pool.has_shared_room();
-        let aged = if lesser_open { self.next_aged(now) } else { None };
-        let urgent = |tier: &Tier| tier.is_urgent();
-        let found = aged.or_else(|| self.next_of_any(now, urgent));
-        if found.is_some() || !lesser_open {
-            return found;
-        }
-        self.next_of_any(now, |tier| !tier.is_urgent())
-    }
-
-    /// The next request of the tiers that `wanted` picks.
-    fn next_of_any(&mut self, now: Millis, wanted: impl Fn(&Tier) -> bool) -> Option<PlaceKey> {
-        let tiers = || Tier::all().filter(&wanted);
-        let resumed = tiers().find_map(|tier| self.next_resumed(tier));
-        let on_time = resumed.or_else(|| tiers().find_map(|tier| self.next_on_time(now, tier)));
-        on_time.or_else(|| tiers().find_map(|tier| self.next_late(now, tier)))
-    }
-
-    fn next_aged(&mut self, now: Millis) -> Option<PlaceKey> {
-        let held = self.refused_at.is_some_and(|at| now.since(at) < self.settings.refusal_hold);
-        if held || !self.grants.is_multiple_of(self.settings.aged_every) {
-            return None;
-        }
-        Tier::all().rev().filter(|tier| !tier.is_urgent()).find_map(|tier| self.oldest_aged(now, tier))
-    }
-
-    fn oldest_aged(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
-        loop {
-            let (places, apart) = (&self.places, &self.apart);
-            let waits = |key| Dispatcher::is_waiting(places, key) && !apart.contains(&key);
-            let key = self.tiers[tier.index()].fair.oldest(waits)?;
-            let request = &self.places[key].request;
-            let aged_at = Millis(request.rule.patience.0 * self.settings.age_percent / 100);
-            if now.since(request.arrival) < aged_at {
-                return None;
-            }
-            if !self.is_hopeless(now, key) {
-                return Some(key);
-            }
-        }
-    }
-
-    fn next_resumed(&mut self, tier: Tier) -> Option<PlaceKey> {
-        let places = &self.places;
-        let resumed = &mut self.tiers[tier.index()].resumed;
-        while let Some(key) = resumed.pop_front() {
-            if Dispatcher::is_waiting(places, key) {
-                return Some(key);
-            }
-        }
-        None
-    }
-
-    /// The next request of `tier` that can still meet its target; others join the late ones.
-    fn next_on_time(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
-        let places = &self.places;
-        let queue = &mut self.tiers[tier.index()];
-        let waits = |key| Dispatcher::is_waiting(places, key);
-        while let Some(key) = queue.fair.pop(waits) {
-            let place = &places[key];
-            let due = place.request.arrival + place.request.rule.target;
-            let needed = Millis(place.expected.0 * self.settings.margin_percent / 100);
-            if now + needed <= due {
-                return Some(key);
-            }
-            queue.late.push_back(key);
-        }
-        None
-    }
-
-    fn next_late(&mut self, now: Millis, tier: Tier) -> Option<PlaceKey> {
-        while let Some(key) = self.tiers[tier.index()].late.pop_front() {
-            if Dispatcher::is_waiting(&self.places, key) && !self.is_hopeless(now, key) {
-                return Some(key);
-            }
-        }
-        None
-    }
-
-    /// Whether a request would outlast its caller's patience; it is refused then.
-    fn is_hopeless(&mut self, now: Millis, key: PlaceKey) -> bool {
-        let Some(place) = self.places.get(key) else {
-            return true;
-        };
-        let gives_up = place.request.arrival + place.request.rule.patience;
-        let needed = Millis(place.expected.0 * HOPELESS_PERCENT / 100);
-        if place.request.admitted || now + needed <= gives_up {
-            return false;
-        }
-        self.dequeued(key);
-        self.places.remove(key);
-        self.hopeless.push(key);
-        true
-    }
-
-    fn choose(&self, key: PlaceKey) -> Option<(RunnerKey, &'static str)> {
-        let request = &self.places.get(key)?.request;
-        let cached = self.prefixes.get(request.prefix).filter(|runner| !self.is_avoided(*runner, request));
-        let urgent = request.rule.tier.is_urgent();
-        let cached = cached.and_then(|runner| self.pool.within_mean(runner, urgent, self.settings.affinity_percent));
-        if let Some(runner) = cached {
-            return Some((runner, "prompt prefix cached"));
-        }
-        let runner = self.pool.least_loaded(urgent, &request.zone, request.avoid.as_ref())?;
-        Some((runner, "least loaded, own zone first"))
-    }
-
-    fn is_avoided(&self, runner: RunnerKey, request: &Descriptor) -> bool {
-        self.pool.info(runner).is_some_and(|info| Some(&info.name) == request.avoid.as_ref())
-    }
-
     fn grant(
         &mut self,
         now: Millis,
@@ -588,49 +373,4 @@
             self.pool.begin(runner, tier.is_urgent(), alone_until);
         }
     }
-
-    /// Takes runners back from the least urgent, newest first, for urgent requests that wait.
-    fn preempt(&mut self, now: Millis, actions: &mut Vec<DispatchAction>) {
-        let urgent = self.overdue_urgent(now);
-        let most = (self.pool.places() / PREEMPT_SHARE).max(1);
-        let mut wanted = urgent.saturating_sub(self.preempting).min(most);
-        let lesser = self.running.iter().rev().take_while(|(tier, ..)| !tier.is_urgent());
-        let newest_first: Vec<PlaceKey> = lesser.map(|(.., key)| *key).take(most as usize * 2).collect();
-        for key in newest_first {
-            if wanted == 0 {
-                return;
-            }
-            let Some(Place { state: State::Running { preempting, .. }, .. }) = self.places.get_mut(key) else {
-                continue;
-            };
-            if *preempting {
-                continue;
-            }
-            *preempting = true;
-            self.preempting += 1;
-            wanted -= 1;
-            actions.push(DispatchAction::Preempt { place: key });
-        }
-    }
-
-    /// How many urgent requests wait, if the oldest has waited for too much of its target.
-    fn overdue_urgent(&mut self, now: Millis) -> u32 {
-        if self.lesser == 0 || self.pool.has_room() {
-            return 0;
-        }
-        let places = &self.places;
-        let mut overdue = 0;
-        for tier in Tier::all().filter(|tier| tier.is_urgent()) {
-            let queue = &mut self.tiers[tier.index()];
-            let Some(key) = queue.fair.oldest(|key| Dispatcher::is_waiting(places, key)) else {
-                continue;
-            };
-            let request = &places[key].request;
-            let span = Millis(request.rule.target.0 * self.settings.preempt_percent / 100);
-            if now.since(request.arrival) >= span {
-                overdue += queue.waiting;
-            }
-        }
-        overdue
-    }
 }
--- /dev/null
+++ b/crates/policy/src/dispatcher/choice.rs
@@ -0,0 +1,22 @@
+//! Which runner a request gets.
+
+use super::{Dispatcher, PlaceKey};
+use crate::{Descriptor, RunnerKey};
+
+impl Dispatcher {
+    pub(super) fn choose(&self, key: PlaceKey) -> Option<(RunnerKey, &'static str)> {
+        let request = &self.places.get(key)?.request;
+        let cached = self.prefixes.get(request.prefix).filter(|runner| !self.is_avoided(*runner, request));
+        let urgent = request.rule.tier.is_urgent();
+        let cached = cached.and_then(|runner| self.pool.within_mean(runner, urgent, self.settings.affinity_percent));
+        if let Some(runner) = cached {
+            return Some((runner, "prompt prefix cached"));
+        }
+        let runner = self.pool.least_loaded(urgent, &request.zone, request.avoid.as_ref())?;
+        Some((runner, "least loaded, own zone first"))
+    }
+
+    pub(super) fn is_avoided(&self, runner: RunnerKey, request: &Descriptor) -> bool {
+        self.pool.info(runner).is_some_and(|info| Some(&info.name) == request.avoid.as_ref())
+    }
+}
--- a/crates/policy/src/executor.rs
+++ b/crates/policy/src/executor.rs
@@ -3,14 +3,18 @@
 //! An executor commits each claim to the slot's record before the call runs. It takes over a slot
 //! whose executor died, and asks that executor's witnesses whether calls ran outside the record.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod control;
+mod takeover;
+
+use std::collections::BTreeMap;
 
 use teaselcroft_parts::{
-    ClaimAnswer, ConflictAnswer, Gap, GapWitness, Incarnation, JournalSettings, KeyDigest, Member, Membership, Millis,
-    PeerHealth, SlotId, SlotJournal, SlotRecord, WitnessAnswer, rank, winner,
+    ClaimAnswer, GapWitness, Incarnation, JournalSettings, KeyDigest, Member, Membership, Millis, SlotId, SlotJournal,
+    WitnessAnswer, rank,
 };
 
-use crate::executor_messages::{ExecutorAction, ReadResult, RecordAnswer, WriteResult};
+use self::control::{Control, Phase, Recording};
+use crate::executor_messages::{ExecutorAction, RecordAnswer, WriteResult};
 
 /// Bounds of an executor.
 #[derive(Debug, Clone)]
@@ -57,34 +61,6 @@
     }
 }
 
-#[derive(Debug, Clone)]
-enum Phase {
-    Rest,
-    Reading,
-    Asking { current: (SlotRecord, u64), waiting: BTreeSet<Member>, until: Millis, gap: Gap },
-    Acquiring,
-}
-
-#[derive(Debug, Clone)]
-struct Recording {
-    sent: Millis,
-    open: bool,
-}
-
-#[derive(Debug, Clone)]
-struct Control {
-    journal: SlotJournal,
-    phase: Phase,
-    owner: Option<Member>,
-    epoch: u64,
-    retry_at: Millis,
-    committed_at: Millis,
-    write_out: bool,
-    releasing: bool,
-    recordings: BTreeMap<Member, Recording>,
-    doubted_at: Option<Millis>,
-}
-
 /// One daemon's part in executing calls that must not repeat.
 #[derive(Debug, Clone)]
 pub struct Executor {
@@ -309,150 +285,6 @@
         runs(answer.slot, granted)
     }
 
-    /// Begins to take over a slot whose executor is gone, if this daemon ranks first for it.
-    fn tick_foreign(&mut self, now: Millis, slot: SlotId, members: &Membership) -> Option<ExecutorAction> {
-        let isolated = self.heard_any && self.heard_at != now && now.since(self.heard_at) < self.settings.isolated_for;
-        let preferred = !isolated && self.is_preferred(now, slot, members);
-        let control = self.slots.get_mut(&slot)?;
-        if let Phase::Asking { until, gap, .. } = &control.phase
-            && now >= *until
-        {
-            let gap = *gap;
-            return self.take_over(now, slot, gap, members);
-        }
-        let resting = matches!(control.phase, Phase::Rest);
-        let alive = control.owner.as_ref().is_some_and(|owner| members.is_alive(now, owner));
-        if self.stopping || !resting || alive || !preferred || now < control.retry_at {
-            return None;
-        }
-        control.phase = Phase::Reading;
-        Some(ExecutorAction::Read { slot })
-    }
-
-    fn is_preferred(&self, now: Millis, slot: SlotId, members: &Membership) -> bool {
-        let live = members.live(now);
-        let names = live.iter().map(|member| member.name.as_str());
-        winner(&format!("slot/{slot}"), names) == Some(self.me.name.as_str())
-    }
-
-    /// Takes in the answer to `Read`.
-    pub fn read_done(
-        &mut self,
-        now: Millis,
-        slot: SlotId,
-        result: ReadResult,
-        members: &Membership,
-    ) -> Vec<ExecutorAction> {
-        let retry_after = self.settings.retry_after;
-        let me = self.me.clone();
-        let Some(control) = self.slots.get_mut(&slot) else {
-            return Vec::new();
-        };
-        if !matches!(control.phase, Phase::Reading) {
-            return Vec::new();
-        }
-        let ReadResult::Found(found) = result else {
-            control.rest(now + retry_after);
-            return Vec::new();
-        };
-        let current = found.unwrap_or_default();
-        let owner = current.0.owner.clone();
-        control.epoch = control.epoch.max(current.0.epoch);
-        let others = owner.as_ref().filter(|owner| **owner != me);
-        if let Some(owner) = others.filter(|owner| members.is_alive(now, owner)) {
-            control.owner = Some(owner.clone());
-            control.rest(now + retry_after);
-            control.doubted_at = None;
-            return Vec::new();
-        }
-        let unheard = others.is_some_and(|owner| members.health(now, &owner.name) == PeerHealth::Unknown);
-        if unheard && control.in_doubt(now, self.settings.doubt_for) {
-            control.rest(now + retry_after);
-            return Vec::new();
-        }
-        let until = now + self.settings.ask_for;
-        let foreign = owner.filter(|owner| *owner != me);
-        let record = current.0.clone();
-        control.phase = Phase::Asking { current, waiting: BTreeSet::new(), until, gap: Gap::Unwitnessed };
-        match foreign {
-            Some(owner) => self.ask_witnesses(now, slot, &record, &owner, members),
-            None => self.take_over(now, slot, Gap::None, members).into_iter().collect(),
-        }
-    }
-
-    /// Asks the witnesses in the record; the first that knows of no gap settles it.
-    fn ask_witnesses(
-        &mut self,
-        now: Millis,
-        slot: SlotId,
-        record: &SlotRecord,
-        owner: &Member,
-        members: &Membership,
-    ) -> Vec<ExecutorAction> {
-        let others: BTreeSet<Member> = record.witnesses.iter().filter(|peer| **peer != self.me).cloned().collect();
-        let is_witness = others.len() < record.witnesses.len();
-        let own_gap = is_witness && self.ask_gap(slot, record.epoch, owner.incarnation);
-        if record.witnesses.is_empty() || (is_witness && !own_gap) {
-            return self.take_over(now, slot, Gap::None, members).into_iter().collect();
-        }
-        let known = if own_gap { Gap::Witnessed } else { Gap::Unwitnessed };
-        let alive: BTreeSet<Member> = others.into_iter().filter(|peer| members.is_alive(now, peer)).collect();
-        if alive.is_empty() {
-            return self.take_over(now, slot, known, members).into_iter().collect();
-        }
-        if let Some(Control { phase: Phase::Asking { waiting, gap, .. }, .. }) = self.slots.get_mut(&slot) {
-            waiting.clone_from(&alive);
-            *gap = known;
-        }
-        let (epoch, owner) = (record.epoch, owner.incarnation);
-        alive.into_iter().map(|to| ExecutorAction::Ask { slot, epoch, owner, to }).collect()
-    }
-
-    /// Takes in a witness's answer to `Ask`; `None` if it could not be reached.
-    pub fn answered(
-        &mut self,
-        now: Millis,
-        slot: SlotId,
-        from: &Member,
-        had_gap: Option<bool>,
-        members: &Membership,
-    ) -> Vec<ExecutorAction> {
-        let Some(Control { phase: Phase::Asking { waiting, gap, .. }, .. }) = self.slots.get_mut(&slot) else {
-            return Vec::new();
-        };
-        if !waiting.remove(from) {
-            return Vec::new();
-        }
-        match had_gap {
-            Some(false) => *gap = Gap::None,
-            Some(true) => *gap = Gap::Witnessed.min(*gap),
-            None => {}
-        }
-        let settled = *gap;
-        if settled != Gap::None && !waiting.is_empty() {
-            return Vec::new();
-        }
-        self.take_over(now, slot, settled, members).into_iter().collect()
-    }
-
-    fn take_over(&mut self, now: Millis, slot: SlotId, gap: Gap, members: &Membership) -> Option<ExecutorAction> {
-        let candidates = self.candidates(now, slot, members);
-        let settings = &self.settings;
-        let control = self.slots.get_mut(&slot)?;
-        if gap == Gap::Unwitnessed && control.in_doubt(now, settings.doubt_for) {
-            control.rest(now + settings.retry_after);
-            return None;
-        }
-        control.doubted_at = None;
-        let Phase::Asking { current, .. } = std::mem::replace(&mut control.phase, Phase::Acquiring) else {
-            return None;
-        };
-        let current = (current.1 > 0).then_some(current);
-        let write = control.journal.take_over(current, gap, candidates);
-        control.write_out = true;
-        Some(ExecutorAction::Write { slot, write })
-    }
-
     /// Takes in the answer to `Write`.
     pub fn write_done(&mut self, now: Millis, slot: SlotId, result: WriteResult) -> Vec<ExecutorAction> {
         let retry_after = self.settings.retry_after;
@@ -473,81 +305,6 @@
     }
 }
 
-impl Control {
-    fn rest(&mut self, until: Millis) {
-        self.phase = Phase::Rest;
-        self.retry_at = until;
-    }
-
-    /// Whether a doubt about the executor is younger than `limit`.
-    fn in_doubt(&mut self, now: Millis, limit: Millis) -> bool {
-        let since = *self.doubted_at.get_or_insert(now);
-        now.since(since) < limit
-    }
-
-    fn close_recording(&mut self, witness: &Member, asked: Millis) {
-        let recording = self.recordings.get_mut(witness).filter(|recording| recording.sent == asked);
-        if let Some(recording) = recording {
-            recording.open = false;
-        }
-    }
-
-    fn acquire_done(&mut self, now: Millis, slot: SlotId, result: WriteResult, me: &Member) -> Vec<ExecutorAction> {
-        self.phase = Phase::Rest;
-        match result {
-            WriteResult::Done(version) => self.journal.acquired(now, version),
-            WriteResult::Unknown => {
-                self.journal.acquire_unknown();
-                return Vec::new();
-            }
-            WriteResult::Conflict(actual) => {
-                if !self.journal.acquire_conflict(now, actual.as_ref()) {
-                    self.note_owner(actual);
-                    return Vec::new();
-                }
-            }
-        }
-        let epoch = self.journal.epoch().unwrap_or_default();
-        self.owner = Some(me.clone());
-        self.epoch = epoch;
-        self.recordings.clear();
-        vec![ExecutorAction::Owns { slot, epoch, gap: self.journal.has_gap(now) }]
-    }
-
-    fn release_done(&mut self, slot: SlotId, result: WriteResult) -> Vec<ExecutorAction> {
-        if result == WriteResult::Unknown {
-            return Vec::new();
-        }
-        self.releasing = false;
-        self.owner = None;
-        self.journal.released();
-        vec![ExecutorAction::Released { slot }]
-    }
-
-    fn commit_done(&mut self, now: Millis, slot: SlotId, result: WriteResult) -> Vec<ExecutorAction> {
-        match result {
-            WriteResult::Done(version) => runs(slot, self.journal.commit_done(now, version)),
-            WriteResult::Unknown => Vec::new(),
-            WriteResult::Conflict(actual) => match self.journal.commit_conflict(now, actual.clone()) {
-                ConflictAnswer::Committed(keys) => runs(slot, keys),
-                ConflictAnswer::Moved(keys) => {
-                    self.note_owner(actual);
-                    keys.into_iter().map(|key| ExecutorAction::Moved { slot, key }).collect()
-                }
-            },
-        }
-    }
-
-    fn note_owner(&mut self, actual: Option<(SlotRecord, u64)>) {
-        let Some((record, _)) = actual else {
-            self.owner = None;
-            return;
-        };
-        self.owner = record.owner;
-        self.epoch = record.epoch;
-    }
-}
-
 fn runs(slot: SlotId, keys: Vec<KeyDigest>) -> Vec<ExecutorAction> {
     keys.into_iter().map(|key| ExecutorAction::Run { slot, key }).collect()
 }
