--- a/crates/parts/src/config_register.rs
+++ b/crates/parts/src/config_register.rs
@@ -14,6 +14,17 @@
 }
 
 /// Keeps, for each team, the configuration with the highest version ever seen.
+///
+/// ```
+/// use teaselcroft_parts::{ConfigRegister, ConfigValue, TeamName};
+///
+/// let team: TeamName = "harvest".parse()?;
+/// let mut register = ConfigRegister::default();
+/// assert!(register.offer(team.clone(), ConfigValue { version: 2, value: b"new".to_vec() }));
+/// assert!(!register.offer(team, ConfigValue { version: 1, value: b"old".to_vec() }));
+/// assert_eq!(register.clock(), 2);
+/// # Ok::<(), teaselcroft_parts::NameError>(())
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct ConfigRegister {
     teams: BTreeMap<TeamName, ConfigValue>,
--- a/crates/parts/src/gap_witness.rs
+++ b/crates/parts/src/gap_witness.rs
@@ -19,6 +19,15 @@
 ///
 /// An executor needs every witness of its record to open a gap and to keep it open; a successor
 /// asks them, and one that answers is enough: it says whether there was a gap and ends its consent.
+///
+/// ```
+/// use teaselcroft_parts::{GapWitness, Incarnation, SlotId, WitnessAnswer};
+///
+/// let mut witness = GapWitness::default();
+/// assert!(witness.record(SlotId(0), 4..=4, Incarnation(1)));
+/// assert_eq!(witness.ask(SlotId(0), 4, Incarnation(1)), WitnessAnswer::Gap);
+/// assert!(!witness.record(SlotId(0), 4..=4, Incarnation(1)));
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct GapWitness {
     marks: BTreeMap<(SlotId, u64, Incarnation), Mark>,
--- a/crates/parts/src/lease_clock.rs
+++ b/crates/parts/src/lease_clock.rs
@@ -3,6 +3,15 @@
 use crate::Millis;
 
 /// Judges a lease on the holder's monotonic clock, from before each renewal was sent.
+///
+/// ```
+/// use teaselcroft_parts::{LeaseClock, Millis};
+///
+/// let mut lease = LeaseClock::new(Millis(5_000), Millis(500));
+/// lease.renewed(Millis(1_000));
+/// assert!(lease.is_valid(Millis(5_000)));
+/// assert!(!lease.is_valid(Millis(6_000)));
+/// ```
 #[derive(Debug, Clone)]
 pub struct LeaseClock {
     ttl: Millis,
--- a/crates/parts/src/membership.rs
+++ b/crates/parts/src/membership.rs
@@ -39,6 +39,18 @@
 }
 
 /// A daemon's own view of the daemons of its cell.
+///
+/// ```
+/// use teaselcroft_parts::{Incarnation, Member, Membership, MembershipSettings, Millis};
+///
+/// let me = Member { name: "entry-1".parse()?, incarnation: Incarnation(1) };
+/// let peer = Member { name: "entry-2".parse()?, incarnation: Incarnation(7) };
+/// let mut members = Membership::new(MembershipSettings::default(), me);
+/// members.heard(Millis(0), &peer, false);
+/// assert!(members.is_alive(Millis(1_000), &peer));
+/// assert!(!members.is_alive(Millis(3_000), &peer));
+/// # Ok::<(), teaselcroft_parts::NameError>(())
+/// ```
 #[derive(Debug, Clone)]
 pub struct Membership {
     settings: MembershipSettings,
--- a/crates/parts/src/outage_consent.rs
+++ b/crates/parts/src/outage_consent.rs
@@ -6,6 +6,15 @@
 const CONSENT_MARGIN_MS: Millis = Millis(500);
 
 /// A permission given by a witness for a few seconds and renewed while the outage lasts.
+///
+/// ```
+/// use teaselcroft_parts::{Millis, OutageConsent};
+///
+/// let mut consent = OutageConsent::default();
+/// consent.granted(Millis(1_000));
+/// assert!(consent.is_valid(Millis(5_000)));
+/// assert!(!consent.is_valid(Millis(5_500)));
+/// ```
 #[derive(Debug, Clone)]
 pub struct OutageConsent {
     lease: LeaseClock,
--- a/crates/parts/src/retry_budget.rs
+++ b/crates/parts/src/retry_budget.rs
@@ -16,6 +16,14 @@
 }
 
 /// Counts first attempts and allows retries in proportion.
+///
+/// ```
+/// use teaselcroft_parts::{RetryBudget, RetryBudgetSettings};
+///
+/// let mut budget = RetryBudget::new(RetryBudgetSettings { saved_max: 1, ..Default::default() });
+/// assert!(budget.retry());
+/// assert!(!budget.retry());
+/// ```
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
--- a/crates/parts/src/slot_journal.rs
+++ b/crates/parts/src/slot_journal.rs
@@ -80,6 +80,24 @@
 }
 
 /// One daemon's side of one slot.
+///
+/// ```
+/// use teaselcroft_parts::{ClaimAnswer, Gap, Incarnation, JournalSettings, KeyDigest, Member, Millis, SlotJournal};
+///
+/// let me = Member { name: "entry-1".parse()?, incarnation: Incarnation(1) };
+/// let mut journal = SlotJournal::new(JournalSettings::default(), me);
+/// let write = journal.take_over(None, Gap::None, Vec::new());
+/// // The driver swaps `write.record` in; the service answers with version 1.
+/// assert_eq!(write.expected, 0);
+/// journal.acquired(Millis(0), 1);
+///
+/// let key = KeyDigest::of("dock-crews", "booking", "barge-7");
+/// assert_eq!(journal.claim(Millis(10), key), ClaimAnswer::Pending);
+/// assert!(journal.next_commit(Millis(10)).is_some());
+/// assert_eq!(journal.commit_done(Millis(15), 2), [key]);
+/// assert_eq!(journal.claim(Millis(20), key), ClaimAnswer::Repeated);
+/// # Ok::<(), teaselcroft_parts::NameError>(())
+/// ```
 #[derive(Debug, Clone)]
 pub struct SlotJournal {
     settings: JournalSettings,
--- a/crates/router/src/control/configs.rs
+++ b/crates/router/src/control/configs.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use teaselcroft_parts::{ConfigValue, RunnerName, TeamName};
+use teaselcroft_parts::{ConfigValue, Millis, RunnerName, TeamName};
 use teaselcroft_policy::TeamConfig;
 
 use super::{Control, pause};
@@ -15,6 +15,8 @@
 use crate::{Event, emit};
 
 const IDLE: Duration = Duration::from_millis(500);
+/// How old a runner's report may be when an order follows it; a daemon that was paused gives none.
+const ORDER_WITHIN: Millis = Millis(1_000);
 const RETRY: Duration = Duration::from_millis(1_000);
 
 /// The prefix of accepted configurations in the key-value service.
@@ -122,9 +124,11 @@
 
 async fn push_config<P: Platform>(node: Arc<Node<P>>, runner: RunnerName, address: String, order: OrderWire) {
     let engines = node.platform.engines();
+    let began = node.clock.now();
     let held = engines.report(&address).await.ok().map(|report| report.revisions);
     let newer = held.is_some_and(|held| held.get(&order.team).copied().unwrap_or(0) < order.revision);
-    let obeyed = newer && engines.order(&address, &order).await == Ok(true);
+    let fresh = node.clock.now().since(began) < ORDER_WITHIN;
+    let obeyed = newer && fresh && engines.order(&address, &order).await == Ok(true);
     let revision = obeyed.then_some(order.revision);
     if revision.is_none() {
         pause(IDLE).await;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -6,7 +6,7 @@
 
 use async_channel::Sender;
 use smol::Executor;
-use teaselcroft_parts::{ClassName, DaemonName, Member, RequestId, RunnerName};
+use teaselcroft_parts::{ClassName, DaemonName, Member, RequestId, RetryBudget, RetryBudgetSettings, RunnerName};
 use teaselcroft_policy::SilenceBound;
 
 use crate::call_table::CallTable;
@@ -50,6 +50,7 @@
     pub reads_configs: AtomicBool,
     /// Requests being served, calls executed for peers included.
     pub in_flight: AtomicU64,
+    retries: Mutex<RetryBudget>,
     store_up: AtomicBool,
     view: Mutex<Arc<View>>,
     pulse: Mutex<Heartbeat>,
@@ -80,6 +81,7 @@
             stopping: AtomicBool::new(false),
             reads_configs: AtomicBool::new(false),
             in_flight: AtomicU64::new(0),
+            retries: Mutex::new(RetryBudget::new(RetryBudgetSettings::default())),
             store_up: AtomicBool::new(true),
             view: Mutex::default(),
             pulse: Mutex::default(),
@@ -118,6 +120,16 @@
         work(bounds.entry(class.clone()).or_insert_with(|| SilenceBound::for_prompt(prompt_tokens)))
     }
 
+    /// Counts the first attempt of a call to a plain service.
+    pub fn count_attempt(&self) {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner).attempt();
+    }
+
+    /// Whether a call to a plain service may be tried again, so that retries stay a share of calls.
+    pub fn may_retry(&self) -> bool {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner).retry()
+    }
+
     /// Tells the control thread; lost only while the daemon ends.
     pub fn tell(&self, command: Command) {
         if self.control.try_send(command).is_err() {
--- a/crates/router/src/service_api.rs
+++ b/crates/router/src/service_api.rs
@@ -142,6 +142,7 @@
 ) -> CallOutcome {
     let deadline = arrival + rule.patience;
     let mut ran = false;
+    node.count_attempt();
     let mut place = Place::open(node, place_request(node, arrived, rule, arrival, ran));
     loop {
         let left = deadline.since(node.clock.now());
@@ -171,6 +172,9 @@
             Err(error) => {
                 ran = ran || error != crate::http_client::HttpError::Refused;
                 place.end(Outcome::bare(end_of(error)));
+                if ran && !node.may_retry() {
+                    return CallOutcome::bare(ResultCode::ReplyLost);
+                }
                 place = Place::open(node, place_request(node, arrived, rule, arrival, ran));
             }
         }
--- a/crates/standins/src/fleet_processes.rs
+++ b/crates/standins/src/fleet_processes.rs
@@ -5,15 +5,22 @@
 use std::io;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use rustix::process::{Pid, Signal, kill_process};
 use teaselcroft_parts::DaemonName;
 
 use crate::fleet::{DaemonPlan, Fleet};
 
+const EXIT_CHECK: Duration = Duration::from_millis(20);
+
 /// Daemons as processes that this program starts from its own executable.
 pub struct ProcessFleet {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
     folder: PathBuf,
     children: Mutex<BTreeMap<DaemonName, Vec<Child>>>,
 }
@@ -21,12 +28,13 @@
 impl ProcessFleet {
     /// A fleet without daemons, whose settings and logs go to `folder`.
     pub fn new(folder: PathBuf) -> ProcessFleet {
-        ProcessFleet { folder, children: Mutex::default() }
+        ProcessFleet { inner: Arc::new(Inner { folder, children: Mutex::default() }) }
     }
 
+    /// Sends a signal; a daemon that does not run gets none.
     fn signal(&self, name: &DaemonName, signal: Signal) -> io::Result<()> {
         let Some(pid) = self.process(name) else {
-            return Err(io::Error::new(io::ErrorKind::NotFound, format!("{name} does not run")));
+            return Ok(());
         };
         let pid = i32::try_from(pid).ok().and_then(Pid::from_raw);
         let pid = pid.ok_or_else(|| io::Error::other("not a process id"))?;
@@ -36,19 +44,20 @@
 
 impl Fleet for ProcessFleet {
     fn start(&self, plan: &DaemonPlan) -> io::Result<()> {
-        let config = self.folder.join(format!("{}.yaml", plan.name));
-        std::fs::write(&config, &plan.settings)?;
-        let log = File::options().create(true).append(true).open(self.folder.join(format!("{}.log", plan.name)))?;
-        let child = Command::new(std::env::current_exe()?)
-            .arg("daemon")
-            .arg("--config")
-            .arg(&config)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()?;
-        let mut children = self.children.lock().unwrap_or_else(PoisonError::into_inner);
-        children.entry(plan.name.clone()).or_default().push(child);
+        if self.process(&plan.name).is_none() {
+            return self.inner.start(plan);
+        }
+        let inner = self.inner.clone();
+        let plan = plan.clone();
+        let wait = move || {
+            while inner.process(&plan.name).is_some() {
+                std::thread::sleep(EXIT_CHECK);
+            }
+            if let Err(error) = inner.start(&plan) {
+                eprintln!("{} cannot be started again: {error}", plan.name);
+            }
+        };
+        std::thread::Builder::new().name("restart".to_owned()).spawn(wait)?;
         Ok(())
     }
 
@@ -68,6 +77,31 @@
         self.signal(name, Signal::CONT)
     }
 
+    fn process(&self, name: &DaemonName) -> Option<u32> {
+        self.inner.process(name)
+    }
+}
+
+impl Inner {
+    /// Starts a daemon in a process of its own.
+    fn start(&self, plan: &DaemonPlan) -> io::Result<()> {
+        let config = self.folder.join(format!("{}.yaml", plan.name));
+        std::fs::write(&config, &plan.settings)?;
+        let log = File::options().create(true).append(true).open(self.folder.join(format!("{}.log", plan.name)))?;
+        let child = Command::new(std::env::current_exe()?)
+            .arg("daemon")
+            .arg("--config")
+            .arg(&config)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        let mut children = self.children.lock().unwrap_or_else(PoisonError::into_inner);
+        children.entry(plan.name.clone()).or_default().push(child);
+        Ok(())
+    }
+
+    /// The process of a daemon that still runs.
     fn process(&self, name: &DaemonName) -> Option<u32> {
         let mut children = self.children.lock().unwrap_or_else(PoisonError::into_inner);
         let child = children.get_mut(name)?.last_mut()?;
@@ -76,7 +110,7 @@
     }
 }
 
-impl Drop for ProcessFleet {
+impl Drop for Inner {
     fn drop(&mut self) {
         let children = self.children.get_mut().unwrap_or_else(PoisonError::into_inner);
         for child in children.values_mut().flatten() {
