Tell all peers at once of a process that is gone

Cause: only the daemon whose connection was refused knew of a death at once; the others waited for three silent heartbeats (2.7 s), and slots and dispatchers with them. Change: a refused connection is told to every live peer, by incarnation.

--- a/crates/parts/src/membership.rs
+++ b/crates/parts/src/membership.rs
@@ -103,12 +103,29 @@
     }
 
     /// Records that `peer` refused a connection: its process is gone until it is heard again.
-    pub fn refused(&mut self, peer: &DaemonName) {
-        if let Some(peer) = self.peers.get_mut(peer) {
+    ///
+    /// Returns true if that is news.
+    pub fn refused(&mut self, peer: &DaemonName) -> bool {
+        let Some(peer) = self.peers.get_mut(peer) else {
+            return false;
+        };
+        !std::mem::replace(&mut peer.refused, true)
+    }
+
+    /// Records another daemon's word that the very incarnation `member` refused it a connection.
+    pub fn said_gone(&mut self, member: &Member) {
+        let known = self.peers.get_mut(&member.name);
+        if let Some(peer) = known.filter(|peer| peer.incarnation == member.incarnation) {
             peer.refused = true;
         }
     }
 
+    /// The incarnations that refused a connection and were not heard since.
+    pub fn gone(&self) -> Vec<Member> {
+        let gone = self.peers.iter().filter(|(_, peer)| peer.refused);
+        gone.map(|(name, peer)| Member { name: name.clone(), incarnation: peer.incarnation }).collect()
+    }
+
     /// What is known of `peer` at `now`.
     pub fn health(&self, now: Millis, peer: &DaemonName) -> PeerHealth {
         if *peer == self.me.name {
--- a/crates/parts/tests/parts.rs
+++ b/crates/parts/tests/parts.rs
@@ -84,6 +84,23 @@
     assert_eq!(members.health(Millis(1), &third.name), PeerHealth::Dead);
 }
 
+#[test]
+fn word_of_a_death_holds_for_that_incarnation_until_it_is_heard() {
+    let mut members = Membership::new(MembershipSettings::default(), member("entry-1", 1));
+    let (old, new) = (member("entry-2", 1), member("entry-2", 2));
+    members.heard(Millis(0), &old, false);
+
+    members.said_gone(&new);
+    let after_other = members.is_alive(Millis(10), &old);
+    members.said_gone(&old);
+    let after_own = members.is_alive(Millis(10), &old);
+    members.heard(Millis(20), &new, false);
+
+    assert!(after_other && !after_own);
+    assert!(members.is_alive(Millis(30), &new));
+    assert_eq!(members.gone(), []);
+}
+
 #[test]
 fn an_old_incarnation_is_not_taken_for_the_new_one() {
     let mut members = Membership::new(MembershipSettings::default(), member("entry-1", 1));
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -150,7 +150,7 @@
             Command::Enter { place, events, ends } => self.enter(place, events, ends),
             Command::Leave { upstream, life, place, outcome } => self.leave(&upstream, life, place, outcome),
             Command::Heard(pulse) => self.heard(pulse),
-            Command::PeerRefused(peer) => self.members.refused(&peer),
+            Command::PeerRefused(peer) => self.peer_refused(&peer),
             Command::Listed(vms) => self.listed(vms),
             Command::Reported { upstream, runner, report } => self.reported(&upstream, &runner, report),
             Command::Ordered { runner, team, revision } => self.ordered(runner, team, revision),
@@ -214,6 +214,7 @@
             store_reachable: self.node.is_store_up(),
             slots: self.slots.owned(),
             condemned: condemned.collect(),
+            gone: self.members.gone(),
         }
     }
 
--- a/crates/router/src/control/peers.rs
+++ b/crates/router/src/control/peers.rs
@@ -46,6 +46,9 @@
     pub(super) fn heard(&mut self, pulse: Pulse) {
         let now = self.now();
         self.members.heard(now, &pulse.member, pulse.leaving);
+        for member in &pulse.gone {
+            self.members.said_gone(member);
+        }
         self.slots.peer_owns(&pulse.member, &pulse.slots);
         for fingerprint in pulse.condemned {
             for shard in self.shards.values_mut() {
@@ -57,6 +60,13 @@
         }
     }
 
+    /// Takes in that a peer's process is gone, and tells the others at once.
+    pub(super) fn peer_refused(&mut self, peer: &DaemonName) {
+        if self.members.refused(peer) {
+            self.heartbeat_all();
+        }
+    }
+
     /// Lets peers be silent for as long as the time between heartbeats allows.
     fn judge_silence(&mut self) {
         let limits = &self.node.settings.limits;
--- a/crates/router/src/pulse.rs
+++ b/crates/router/src/pulse.rs
@@ -2,7 +2,7 @@
 
 use teaselcroft_parts::{Fingerprint, Incarnation, Member, SlotId};
 
-use crate::generated::{Heartbeat, SlotOwned};
+use crate::generated::{Gone, Heartbeat, SlotOwned};
 use crate::place_event::WireError;
 
 /// What a daemon tells its peers of itself.
@@ -20,6 +20,8 @@
     pub slots: Vec<(SlotId, u64)>,
     /// Content that it refuses.
     pub condemned: Vec<Fingerprint>,
+    /// Daemons that refused it a connection.
+    pub gone: Vec<Member>,
 }
 
 impl From<Pulse> for Heartbeat {
@@ -33,6 +35,7 @@
             store_reachable: pulse.store_reachable,
             slots: slots.collect(),
             condemned: pulse.condemned.into_iter().map(|fingerprint| fingerprint.0).collect(),
+            gone: pulse.gone.into_iter().map(gone_to_wire).collect(),
         }
     }
 }
@@ -49,6 +52,16 @@
             store_reachable: wire.store_reachable,
             slots: wire.slots.into_iter().map(|owned| (SlotId(owned.slot), owned.epoch)).collect(),
             condemned: wire.condemned.into_iter().map(Fingerprint).collect(),
+            gone: wire.gone.into_iter().map(gone_from_wire).collect::<Result<_, _>>()?,
         })
     }
 }
+
+fn gone_to_wire(member: Member) -> Gone {
+    Gone { name: member.name.into(), incarnation: member.incarnation.0 }
+}
+
+fn gone_from_wire(wire: Gone) -> Result<Member, WireError> {
+    let name = wire.name.try_into().map_err(|_| WireError)?;
+    Ok(Member { name, incarnation: Incarnation(wire.incarnation) })
+}
--- a/crates/standins/src/judge.rs
+++ b/crates/standins/src/judge.rs
@@ -100,8 +100,7 @@
 }
 
 /// A request of a lesser tier that did not finish although its caller waited.
-fn starvation(played: &Played, lines: &[Line<'_>], case: &mut Case) {
-    let _ = played;
+fn starvation(_: &Played, lines: &[Line<'_>], case: &mut Case) {
     for line in lines.iter().filter(|line| line.counts() && !line.rule.tier.is_urgent()) {
         case.check(line.verdict == Verdict::Whole, || {
             format!("{} ended as {:?} after {} ms", line.call.request.id, line.verdict, line.total_ms)
