--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -78,6 +78,13 @@
     address: String,
 }
 
+/// A customer's callers in one zone; they share what they were told.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Origin {
+    customer: String,
+    zone: String,
+}
+
 struct Kept {
     addresses: Vec<String>,
     until_ms: u64,
@@ -88,7 +95,7 @@
 pub struct Callers {
     world: Arc<World>,
     bootstrap: Vec<String>,
-    kept: Mutex<HashMap<String, Kept>>,
+    kept: Mutex<HashMap<Origin, Kept>>,
     records: Mutex<Vec<CallRecord>>,
     open: Mutex<HashMap<String, String>>,
 }
@@ -136,7 +143,8 @@
 
     async fn try_until_answered(&self, request: &TraceRequest, rule: &ClassRule, attempts: &mut Vec<Attempt>) {
         loop {
-            let address = self.address(&request.zone, !attempts.is_empty()).await;
+            let origin = Origin { customer: request.customer.clone(), zone: request.zone.clone() };
+            let address = self.address(&origin, !attempts.is_empty()).await;
             let attempt = self.attempt(request, rule, address).await;
             let reply = attempt.reply.clone();
             attempts.push(attempt);
@@ -155,30 +163,30 @@
     }
 
     /// An address to use: a kept one, or after a failure a newly asked one.
-    async fn address(&self, zone: &str, ask_again: bool) -> String {
-        if !ask_again && let Some(address) = self.kept_address(zone) {
+    async fn address(&self, origin: &Origin, ask_again: bool) -> String {
+        if !ask_again && let Some(address) = self.kept_address(origin) {
             return address;
         }
         loop {
             let index = fastrand::usize(..self.bootstrap.len());
-            if let Some(found) = ask(&self.bootstrap[index], zone).await
+            if let Some(found) = ask(&self.bootstrap[index], &origin.zone).await
                 && !found.daemons.is_empty()
             {
                 let addresses: Vec<String> = found.daemons.into_iter().map(|wire| wire.address).collect();
                 let first = addresses[0].clone();
                 let until_ms = self.world.now_ms() + found.keep_ms;
                 let kept = Kept { addresses, until_ms, next: 0 };
-                self.kept.lock().unwrap_or_else(PoisonError::into_inner).insert(zone.to_owned(), kept);
+                self.kept.lock().unwrap_or_else(PoisonError::into_inner).insert(origin.clone(), kept);
                 return first;
             }
             Timer::after(ASK_AGAIN).await;
         }
     }
 
-    fn kept_address(&self, zone: &str) -> Option<String> {
+    fn kept_address(&self, origin: &Origin) -> Option<String> {
         let now = self.world.now_ms();
         let mut all = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
-        let kept = all.get_mut(zone).filter(|kept| now < kept.until_ms)?;
+        let kept = all.get_mut(origin).filter(|kept| now < kept.until_ms)?;
         kept.next = (kept.next + 1) % kept.addresses.len().min(2);
         Some(kept.addresses[kept.next].clone())
     }
