--- a/crates/parts/src/slot_journal.rs
+++ b/crates/parts/src/slot_journal.rs
@@ -141,16 +141,6 @@
         self.owned()?.flight.as_ref().map(|flight| flight.sent)
     }
 
-    /// Whether claims wait for a commit.
-    pub fn has_pending(&self) -> bool {
-        self.owned().is_some_and(Owned::has_pending)
-    }
-
-    /// Whether granted claims are missing from the record.
-    pub fn has_unjournaled(&self) -> bool {
-        self.owned().is_some_and(|owned| !owned.unjournaled.is_empty())
-    }
-
     /// Whether unknown keys of this slot may have run before.
     pub fn has_gap(&self, now: Millis) -> bool {
         self.owned().is_some_and(|owned| owned.gap_until.is_some_and(|until| now < until))
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -19,9 +19,6 @@
     RunnerInfo, RunnerKey, RunnerPool, Suspects, Suspicion, Tier,
 };
 
-/// Expected time at a runner that must be left of the patience of a request that begins, in percent.
-const HOPELESS_PERCENT: u64 = 200;
-
 new_key_type! {
     /// Identifies a request within one dispatcher.
     pub struct PlaceKey;
--- a/crates/policy/src/dispatcher/order.rs
+++ b/crates/policy/src/dispatcher/order.rs
@@ -2,9 +2,12 @@
 
 use teaselcroft_parts::Millis;
 
-use super::{Dispatcher, HOPELESS_PERCENT, PlaceKey};
+use super::{Dispatcher, PlaceKey};
 use crate::Tier;
 
+/// Expected time at a runner that must be left of the patience of a request that begins, in percent.
+const HOPELESS_PERCENT: u64 = 200;
+
 impl Dispatcher {
     /// The request that goes next: urgent ones, then those that ran before, then by tier.
     ///
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -207,9 +207,7 @@
         let kind = match left {
             Left::Done => EndKind::Done,
             Left::CallerGone | Left::Preempted => EndKind::Cancelled,
-            Left::Failed(HttpError::Refused) => EndKind::Refused,
-            Left::Failed(HttpError::Broken) => EndKind::Broken,
-            Left::Failed(HttpError::Silent) => EndKind::Silent,
+            Left::Failed(error) => error.into(),
         };
         let elapsed = self.node.clock.now().since(began);
         (place, left, Outcome { kind, tokens: self.received - before, elapsed })
--- a/crates/router/src/execute.rs
+++ b/crates/router/src/execute.rs
@@ -156,14 +156,11 @@
                     place.end(Outcome::bare(EndKind::Done));
                     return outcome;
                 }
-                Err(HttpError::Refused) => place.end(Outcome::bare(EndKind::Refused)),
-                Err(HttpError::Broken) => {
-                    place.end(Outcome::bare(EndKind::Broken));
-                    return CallOutcome::bare(ResultCode::ReplyLost);
-                }
-                Err(HttpError::Silent) => {
-                    place.end(Outcome::bare(EndKind::Silent));
-                    return CallOutcome::bare(ResultCode::ReplyLost);
+                Err(error) => {
+                    place.end(Outcome::bare(error.into()));
+                    if error != HttpError::Refused {
+                        return CallOutcome::bare(ResultCode::ReplyLost);
+                    }
                 }
             }
         }
--- a/crates/router/src/http_client.rs
+++ b/crates/router/src/http_client.rs
@@ -10,6 +10,7 @@
 use smol::Timer;
 use smol::net::TcpStream;
 use teaselcroft_parts::Millis;
+use teaselcroft_policy::EndKind;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const MAX_REPLY_BYTES: u64 = 64 << 20;
@@ -37,6 +38,16 @@
 
 impl std::error::Error for HttpError {}
 
+impl From<HttpError> for EndKind {
+    fn from(error: HttpError) -> EndKind {
+        match error {
+            HttpError::Refused => EndKind::Refused,
+            HttpError::Broken => EndKind::Broken,
+            HttpError::Silent => EndKind::Silent,
+        }
+    }
+}
+
 /// A request to be sent.
 #[derive(Debug, Clone)]
 pub struct HttpCall {
--- a/crates/router/src/service_api.rs
+++ b/crates/router/src/service_api.rs
@@ -12,7 +12,7 @@
 use crate::call_table::CallOutcome;
 use crate::execute::{Call, execute};
 use crate::generated::ExecuteRequest;
-use crate::http_client::within;
+use crate::http_client::{HttpError, within};
 use crate::node::Node;
 use crate::peer_service::outcome_from_reply;
 use crate::place::Place;
@@ -170,8 +170,8 @@
                 return CallOutcome { status: reply.status, body: reply.body, ..CallOutcome::bare(ResultCode::Done) };
             }
             Err(error) => {
-                ran = ran || error != crate::http_client::HttpError::Refused;
-                place.end(Outcome::bare(end_of(error)));
+                ran = ran || error != HttpError::Refused;
+                place.end(Outcome::bare(error.into()));
                 if ran && !node.may_retry() {
                     return CallOutcome::bare(ResultCode::ReplyLost);
                 }
@@ -181,14 +181,6 @@
     }
 }
 
-const fn end_of(error: crate::http_client::HttpError) -> EndKind {
-    match error {
-        crate::http_client::HttpError::Refused => EndKind::Refused,
-        crate::http_client::HttpError::Broken => EndKind::Broken,
-        crate::http_client::HttpError::Silent => EndKind::Silent,
-    }
-}
-
 fn place_request<P: Platform>(
     node: &Node<P>,
     arrived: &Arrived,
--- a/crates/standins/src/bin/load.rs
+++ b/crates/standins/src/bin/load.rs
@@ -1,20 +1,19 @@
 //! Sends a steady load through daemon processes and measures what they add to direct calls.
 
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use clap::{Parser, Subcommand};
+use clap::Parser;
 use futures_lite::StreamExt;
 use futures_lite::io::AsyncBufReadExt;
 use hdrhistogram::Histogram;
 use http_types::Method;
 use smol::Timer;
 use teaselcroft_parts::Millis;
+use teaselcroft_router::ExitCode;
 use teaselcroft_router::http_client::HttpCall;
-use teaselcroft_router::{ExitCode, run_daemon};
 use teaselcroft_standins::load::{Cell, start_cell};
-use teaselcroft_standins::{Runtime, TraceRequest, customer_key};
+use teaselcroft_standins::{DaemonCommand, Runtime, TraceRequest, customer_key};
 
 const DIRECT_ONE_IN: u64 = 10;
 const LONGEST_US: u64 = 600_000_000;
@@ -25,7 +24,7 @@
 #[command(name = "load", version, args_conflicts_with_subcommands = true)]
 struct Arguments {
     #[command(subcommand)]
-    command: Option<InnerCommand>,
+    command: Option<DaemonCommand>,
 
     /// Daemons.
     #[arg(long, default_value_t = 3)]
@@ -40,17 +39,6 @@
     seconds: u64,
 }
 
-#[derive(Debug, Subcommand)]
-enum InnerCommand {
-    /// Runs one daemon; load starts itself this way.
-    #[command(hide = true)]
-    Daemon {
-        /// The settings file.
-        #[arg(long)]
-        config: PathBuf,
-    },
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kind {
     Read,
@@ -198,7 +186,7 @@
 fn main() -> std::process::ExitCode {
     let arguments = Arguments::parse();
     let result = match &arguments.command {
-        Some(InnerCommand::Daemon { config }) => run_daemon(config, false).map_err(|report| format!("{report:?}")),
+        Some(daemon) => daemon.run(),
         None => run(&arguments),
     };
     let code = result.unwrap_or_else(|reason| {
--- a/crates/standins/src/bin/replay.rs
+++ b/crates/standins/src/bin/replay.rs
@@ -2,16 +2,16 @@
 
 use std::path::{Path, PathBuf};
 
-use clap::{Parser, Subcommand};
-use teaselcroft_router::{ExitCode, run_daemon};
-use teaselcroft_standins::{ProcessFleet, Report, Runtime, Trace, play, render};
+use clap::Parser;
+use teaselcroft_router::ExitCode;
+use teaselcroft_standins::{DaemonCommand, ProcessFleet, Report, Runtime, Trace, play, render};
 
 /// Plays a trace against real daemon processes and reports what became of it.
 #[derive(Debug, Parser)]
 #[command(name = "replay", version, args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 struct Arguments {
     #[command(subcommand)]
-    command: Option<InnerCommand>,
+    command: Option<DaemonCommand>,
 
     /// The trace, in JSON Lines.
     #[arg(required = true)]
@@ -26,27 +26,13 @@
     keep: Option<PathBuf>,
 }
 
-#[derive(Debug, Subcommand)]
-enum InnerCommand {
-    /// Runs one daemon; replay starts itself this way.
-    #[command(hide = true)]
-    Daemon {
-        /// The settings file.
-        #[arg(long)]
-        config: PathBuf,
-    },
-}
-
 fn main() -> std::process::ExitCode {
     let arguments = Arguments::parse();
-    if let Some(InnerCommand::Daemon { config }) = arguments.command {
-        return match run_daemon(&config, false) {
-            Ok(code) => code.into(),
-            Err(report) => fail(&format!("{report:?}")).into(),
-        };
-    }
-    let trace = arguments.trace.unwrap_or_default();
-    replay(&trace, arguments.report.as_deref(), arguments.keep).unwrap_or_else(|reason| fail(&reason)).into()
+    let result = match arguments.command {
+        Some(daemon) => daemon.run(),
+        None => replay(&arguments.trace.unwrap_or_default(), arguments.report.as_deref(), arguments.keep),
+    };
+    result.unwrap_or_else(|reason| fail(&reason)).into()
 }
 
 fn fail(reason: &str) -> ExitCode {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bench;
 pub mod bench_policy;
 mod caller;
+mod daemon_command;
 mod engine_server;
 mod fleet;
 mod fleet_processes;
@@ -31,6 +32,7 @@
 mod world;
 
 pub use caller::{CallRecord, Callers, customer_key};
+pub use daemon_command::DaemonCommand;
 pub use fleet::{DaemonPlan, Fleet, OPERATOR_KEY, plan_daemons};
 pub use fleet_processes::ProcessFleet;
 pub use fleet_threads::ThreadFleet;
