Serve the users' platform through a gateway crate and a thin adapter

Ruled out: async-h1 for forwarding (an answer that ends with its connection is read as empty, one cut short looks whole to its reader); carrying the slots of the product's own interface over (each attempt reaches one daemon, they would buy nothing). Change: crates/gateway (routes, forwarding, placing, retries, roster, heartbeats, discovery through a store trait), platform/ (header names, wire types, store client), deploy/.

--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,167 @@
+//! Starts and stops a gateway daemon.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+
+use async_io::{Async, Timer};
+use error_stack::{Report, ResultExt};
+use smol::Executor;
+use teaselcroft_parts::Millis;
+
+use crate::dialect::Dialect;
+use crate::discovery::{
+    StoreHealth, drop_missing, follow_configuration, follow_members, follow_runners, stay_registered,
+};
+use crate::front::serve_caller;
+use crate::gate::Gate;
+use crate::http::{Inbound, Reply, RequestHead};
+use crate::peers::{CONFIGURATION_PATH, hear_heartbeats, send_heartbeats};
+use crate::run::RunError;
+use crate::small_server::{accept, listen, serve};
+use crate::store::{LeaseId, Store};
+use crate::{Event, Settings, record};
+
+/// The time between clean-ups of idle connections and missing runners.
+const SWEEP_TIME: Millis = Millis(250);
+
+/// A planned stop lasts at least so long, for callers keep addresses a while.
+const SHORTEST_STOP: Millis = Millis(2_500);
+
+/// A planned stop ends so long before the platform would kill the process.
+const STOP_MARGIN: Millis = Millis(350);
+
+/// The time between looks at whether all requests have ended.
+const STOP_LOOK: Millis = Millis(50);
+
+/// The longest time to end the lease at a stop.
+const REVOKE_TIME: Millis = Millis(300);
+
+/// A running gateway daemon.
+pub struct GatewayDaemon<D, S> {
+    gate: Arc<Gate<D>>,
+    store: Arc<S>,
+    lease: Arc<Mutex<Option<LeaseId>>>,
+}
+
+impl<D: Dialect, S: Store> GatewayDaemon<D, S> {
+    /// Opens all addresses and starts the daemon's threads: one for control state, one for traffic.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be used or a thread cannot be started.
+    pub fn start(settings: Settings, dialect: D, store: S) -> Result<GatewayDaemon<D, S>, Report<RunError>> {
+        let gate = Arc::new(Gate::new(settings, dialect));
+        let store = Arc::new(store);
+        let lease = Arc::new(Mutex::new(None));
+        let settings = &gate.settings;
+        let open = |address: SocketAddr| listen(address).change_context(RunError::Address(address));
+        let front = open(settings.front)?;
+        let (ready, directory, peer) = (open(settings.ready)?, open(settings.directory)?, open(settings.peer)?);
+        let metrics = open(SocketAddr::new(settings.ip, settings.metrics_port))?;
+        let beat = SocketAddr::new(settings.ip, settings.heartbeat_port);
+        let socket = Arc::new(Async::<UdpSocket>::bind(beat).change_context(RunError::Address(beat))?);
+        record!(Event::GatewayStarted, daemon = settings.daemon, zone = settings.zone, front = settings.front);
+
+        let control = Arc::new(Executor::new());
+        let traffic = Arc::new(Executor::new());
+        let health = Arc::new(StoreHealth::default());
+        control.spawn(follow_configuration(gate.clone(), store.clone(), health.clone())).detach();
+        control.spawn(follow_runners(gate.clone(), store.clone(), health.clone())).detach();
+        control.spawn(follow_members(gate.clone(), store.clone(), health.clone())).detach();
+        control.spawn(stay_registered(gate.clone(), store.clone(), lease.clone())).detach();
+        control.spawn(send_heartbeats(gate.clone(), socket.clone())).detach();
+        control.spawn(hear_heartbeats(gate.clone(), socket, control.clone())).detach();
+        control.spawn(sweep(gate.clone(), health)).detach();
+        for (listener, answer) in [
+            (ready, answer_ready as fn(&Gate<D>, &RequestHead) -> Reply),
+            (directory, answer_directory),
+            (peer, answer_peer),
+            (metrics, answer_metrics),
+        ] {
+            let gate = gate.clone();
+            let serve_one = move |inbound: Inbound| {
+                let gate = gate.clone();
+                async move { serve(inbound, |head| answer(&gate, head)).await }
+            };
+            control.spawn(accept(listener, control.clone(), serve_one)).detach();
+        }
+        let shared = gate.clone();
+        let serve_front = move |inbound: Inbound| serve_caller(shared.clone(), inbound);
+        traffic.spawn(accept(front, traffic.clone(), serve_front)).detach();
+        for (name, executor) in [("control", control), ("traffic", traffic)] {
+            thread::Builder::new()
+                .name(name.to_owned())
+                .spawn(move || smol::block_on(executor.run(std::future::pending::<()>())))
+                .change_context(RunError::Start)?;
+        }
+        Ok(GatewayDaemon { gate, store, lease })
+    }
+
+    /// Stops as planned: callers are led elsewhere, requests under way end first.
+    pub async fn stop(&self) {
+        let begun = self.gate.now();
+        record!(Event::GatewayStopping, in_flight = self.gate.in_flight.load(Ordering::Acquire));
+        self.gate.begin_stop();
+        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(lease) = lease {
+            let revoke = async { self.store.revoke(lease).await.is_ok() };
+            let late = async {
+                Timer::after(REVOKE_TIME.into()).await;
+                false
+            };
+            let revoked = futures_lite::future::or(revoke, late).await;
+            log::debug!("the lease was ended: {revoked}");
+        }
+        let longest = Millis::from(self.gate.settings.bounds.grace).since(STOP_MARGIN);
+        loop {
+            let took = self.gate.now().since(begun);
+            let in_flight = self.gate.in_flight.load(Ordering::Acquire);
+            if took >= longest || (took >= SHORTEST_STOP && in_flight == 0) {
+                record!(Event::GatewayStopped, took = took, in_flight = in_flight);
+                return;
+            }
+            Timer::after(STOP_LOOK.into()).await;
+        }
+    }
+}
+
+async fn sweep<D: Dialect>(gate: Arc<Gate<D>>, health: Arc<StoreHealth>) {
+    loop {
+        Timer::after(SWEEP_TIME.into()).await;
+        gate.pool().sweep(gate.now());
+        drop_missing(&gate, &health);
+    }
+}
+
+fn answer_ready<D: Dialect>(gate: &Gate<D>, _: &RequestHead) -> Reply {
+    if gate.is_ready() { Reply::text(200, "ready\n") } else { Reply::text(503, "not ready\n") }
+}
+
+fn answer_directory<D: Dialect>(gate: &Gate<D>, head: &RequestHead) -> Reply {
+    if head.path() != gate.dialect.directory_path() {
+        return Reply::text(404, "no such path\n");
+    }
+    let zone = head.query(gate.dialect.zone_parameter());
+    let addresses = gate.roster().addresses(zone, gate.now());
+    if addresses.is_empty() {
+        return Reply::text(503, "no daemon is ready\n");
+    }
+    let body = gate.dialect.directory_body(&addresses, gate.settings.bounds.addresses.into());
+    Reply { media_type: "application/json", body, ..Reply::text(200, "") }
+}
+
+fn answer_peer<D: Dialect>(gate: &Gate<D>, head: &RequestHead) -> Reply {
+    match gate.raw_configuration().filter(|_| head.path() == CONFIGURATION_PATH) {
+        Some(raw) => Reply { media_type: "application/json", body: raw.to_vec(), ..Reply::text(200, "") },
+        None => Reply::text(404, "no configuration\n"),
+    }
+}
+
+fn answer_metrics<D: Dialect>(gate: &Gate<D>, head: &RequestHead) -> Reply {
+    if head.path() != "/metrics" {
+        return Reply::text(404, "no such path\n");
+    }
+    Reply::text(200, &gate.metrics.text())
+}
--- /dev/null
+++ b/crates/gateway/src/discovery.rs
@@ -0,0 +1,195 @@
+//! Keeps what the store says in force: the configuration, the runners, the other daemons, this daemon's entry.
+
+mod follow;
+mod store_health;
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use async_io::Timer;
+use prost::Message;
+use teaselcroft_parts::{Millis, RunnerName};
+
+use crate::dialect::Dialect;
+use crate::gate::Gate;
+use crate::heartbeat::MemberRecord;
+use crate::store::{Change, LeaseId, Store, StoreError};
+use crate::{Event, record};
+use follow::{Follower, follow};
+pub use store_health::StoreHealth;
+
+/// Where daemons register themselves.
+const MEMBER_PREFIX: &str = "teaselcroft/daemons/";
+
+/// How long a daemon stays registered after its last renewal.
+const LEASE_TIME: Millis = Millis(5_000);
+
+/// The time between renewals; two may be lost.
+const RENEWAL_TIME: Millis = Millis(1_500);
+
+/// The pause after a call that the store did not answer.
+const RETRY_TIME: Millis = Millis(400);
+
+/// Entries of runners lapse while the store is away and return so soon after it; the users state two seconds.
+const RETURN_TIME: Millis = Millis(2_200);
+
+/// Follows the configuration for good.
+pub async fn follow_configuration<D: Dialect, S: Store>(gate: Arc<Gate<D>>, store: Arc<S>, health: Arc<StoreHealth>) {
+    let key = gate.dialect.configuration_key();
+    follow(&*store, key, &health, &gate, &mut ConfigurationFollower { gate: &gate, key }).await;
+}
+
+struct ConfigurationFollower<'a, D> {
+    gate: &'a Gate<D>,
+    key: &'static str,
+}
+
+impl<D: Dialect> Follower for ConfigurationFollower<'_, D> {
+    fn listed(&mut self, changes: Vec<Change>) {
+        changes.into_iter().for_each(|change| self.changed(change));
+    }
+
+    fn changed(&mut self, change: Change) {
+        let Some(value) = change.value.filter(|_| change.key == self.key) else {
+            return;
+        };
+        self.gate.apply_configuration(value, "store");
+    }
+}
+
+/// Follows the runners for good.
+pub async fn follow_runners<D: Dialect, S: Store>(gate: Arc<Gate<D>>, store: Arc<S>, health: Arc<StoreHealth>) {
+    let prefix = gate.dialect.runner_prefix();
+    follow(&*store, prefix, &health, &gate, &mut RunnerFollower { gate: &gate, prefix, health: &health }).await;
+}
+
+struct RunnerFollower<'a, D> {
+    gate: &'a Arc<Gate<D>>,
+    prefix: &'static str,
+    health: &'a Arc<StoreHealth>,
+}
+
+impl<D: Dialect> RunnerFollower<'_, D> {
+    fn lost(&self, name: &str) {
+        let Ok(name) = name.parse::<RunnerName>() else {
+            return;
+        };
+        self.health.missing(name.clone(), self.gate.now());
+        if !self.health.is_recovering(self.gate.now()) {
+            drop_missing(self.gate, self.health);
+        }
+    }
+
+    fn seen(&self, name: &str, value: &[u8]) {
+        match self.gate.dialect.runner(name, value) {
+            Ok(runner) => {
+                self.health.present(&runner.name);
+                let line = (runner.name.clone(), runner.service.clone(), runner.address, runner.is_ready);
+                if self.gate.fleet().seen(runner) {
+                    record!(Event::RunnerSeen, runner = line.0, service = line.1, address = line.2, ready = line.3);
+                }
+            }
+            Err(error) => {
+                record!(Event::EntryIgnored, key = name, reason = error, source = "store");
+                self.lost(name);
+            }
+        }
+    }
+}
+
+impl<D: Dialect> Follower for RunnerFollower<'_, D> {
+    fn listed(&mut self, changes: Vec<Change>) {
+        let listed: HashSet<String> = changes.iter().map(|change| change.key.clone()).collect();
+        let known = self.gate.fleet().names();
+        for name in known.iter().filter(|name| !listed.contains(&format!("{}{name}", self.prefix))) {
+            self.lost(name.as_str());
+        }
+        changes.into_iter().for_each(|change| self.changed(change));
+    }
+
+    fn changed(&mut self, change: Change) {
+        let Some(name) = change.key.strip_prefix(self.prefix) else {
+            return;
+        };
+        match change.value {
+            Some(value) => self.seen(name, &value),
+            None => self.lost(name),
+        }
+        self.gate.metrics.runners.set(i64::try_from(self.gate.fleet().ready_count()).unwrap_or(i64::MAX));
+    }
+}
+
+/// Forgets runners whose entries are missing and will not return.
+pub fn drop_missing<D: Dialect>(gate: &Gate<D>, health: &StoreHealth) {
+    for name in health.take_missing(gate.now()) {
+        if let Some(key) = gate.fleet().gone(&name) {
+            gate.pool().forget(key);
+            record!(Event::RunnerLeft, runner = name, source = "store");
+        }
+    }
+}
+
+/// Follows the other daemons for good.
+pub async fn follow_members<D: Dialect, S: Store>(gate: Arc<Gate<D>>, store: Arc<S>, health: Arc<StoreHealth>) {
+    follow(&*store, MEMBER_PREFIX, &health, &gate, &mut MemberFollower { gate: &gate }).await;
+}
+
+struct MemberFollower<'a, D> {
+    gate: &'a Gate<D>,
+}
+
+impl<D: Dialect> Follower for MemberFollower<'_, D> {
+    fn listed(&mut self, changes: Vec<Change>) {
+        changes.into_iter().for_each(|change| self.changed(change));
+    }
+
+    fn changed(&mut self, change: Change) {
+        let name = change.key.strip_prefix(MEMBER_PREFIX).unwrap_or(&change.key);
+        let Some(value) = change.value else {
+            self.gate.roster().unregistered(name);
+            return;
+        };
+        match MemberRecord::decode(&*value) {
+            Ok(member) => self.gate.roster().learn(member, true, self.gate.now()),
+            Err(error) => record!(Event::EntryIgnored, key = name, reason = error, source = "store"),
+        }
+    }
+}
+
+/// Keeps this daemon registered for good.
+pub async fn stay_registered<D: Dialect, S: Store>(
+    gate: Arc<Gate<D>>,
+    store: Arc<S>,
+    lease: Arc<std::sync::Mutex<Option<LeaseId>>>,
+) {
+    loop {
+        match register(&gate, &*store).await {
+            Ok(granted) => {
+                *lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(granted);
+                renew(&*store, granted).await;
+            }
+            Err(error) => {
+                log::debug!("this daemon could not register: {error}");
+                Timer::after(RETRY_TIME.into()).await;
+            }
+        }
+    }
+}
+
+async fn register<D: Dialect, S: Store>(gate: &Gate<D>, store: &S) -> Result<LeaseId, StoreError> {
+    let lease = store.grant(LEASE_TIME).await?;
+    let me = gate.roster().me.clone();
+    store.put(&format!("{MEMBER_PREFIX}{}", me.name), &me.encode_to_vec(), lease).await?;
+    record!(Event::MemberRegistered, name = me.name, lease = lease);
+    Ok(lease)
+}
+
+/// Renews a lease until it has ended.
+async fn renew<S: Store>(store: &S, lease: LeaseId) {
+    loop {
+        Timer::after(RENEWAL_TIME.into()).await;
+        if store.renew(lease).await == Err(StoreError::Missing) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,205 @@
+//! The runners that are known, what they carry, and which one a request goes to.
+
+mod ask;
+mod load;
+mod placement;
+mod runner_state;
+
+use std::collections::HashMap;
+
+use slotmap::{SlotMap, new_key_type};
+use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
+
+use crate::RunnerRecord;
+use crate::heartbeat::RunnerLoad;
+
+pub use ask::Ask;
+pub use load::Load;
+pub use placement::Placement;
+use runner_state::RunnerState;
+
+new_key_type! {
+    /// A known runner.
+    pub struct RunnerKey;
+}
+
+/// A peer's counts older than this say nothing any more.
+const PEER_LOADS_EXPIRE: Millis = Millis(2_000);
+
+/// The first time for which a runner that refused a connection is avoided; it doubles each time.
+const FIRST_AVOIDANCE: Millis = Millis(200);
+
+/// The longest time for which a runner is avoided before it is tried again.
+const LONGEST_AVOIDANCE: Millis = Millis(1_600);
+
+/// The runners that are known.
+#[derive(Debug)]
+pub struct Fleet {
+    zone: ZoneName,
+    runners: SlotMap<RunnerKey, RunnerState>,
+    names: HashMap<RunnerName, RunnerKey>,
+    hashes: HashMap<u64, RunnerKey>,
+    services: HashMap<ModelName, Vec<RunnerKey>>,
+    peers: HashMap<String, (Millis, Vec<RunnerLoad>)>,
+}
+
+/// The hash by which daemons name a runner to each other.
+pub fn runner_hash(name: &RunnerName) -> u64 {
+    rapidhash::v3::rapidhash_v3(name.as_str().as_bytes())
+}
+
+impl Fleet {
+    /// No runners yet, seen from `zone`.
+    pub fn new(zone: ZoneName) -> Fleet {
+        Fleet {
+            zone,
+            runners: SlotMap::with_key(),
+            names: HashMap::new(),
+            hashes: HashMap::new(),
+            services: HashMap::new(),
+            peers: HashMap::new(),
+        }
+    }
+
+    /// Takes in a runner's entry; true if it is new, changed or started again.
+    pub fn seen(&mut self, record: RunnerRecord) -> bool {
+        if let Some(key) = self.names.get(&record.name).copied() {
+            let known = &self.runners[key].record;
+            if **known == record {
+                return false;
+            }
+            if known.started_at == record.started_at && known.address == record.address {
+                self.runners[key].record = record.into();
+                return true;
+            }
+            self.gone(&record.name);
+        }
+        let hash = runner_hash(&record.name);
+        let (name, service) = (record.name.clone(), record.service.clone());
+        let key = self.runners.insert(RunnerState::new(record, hash));
+        self.names.insert(name, key);
+        self.hashes.insert(hash, key);
+        self.services.entry(service).or_default().push(key);
+        true
+    }
+
+    /// Forgets a runner; returns what was known of it.
+    pub fn gone(&mut self, name: &RunnerName) -> Option<RunnerKey> {
+        let key = self.names.remove(name)?;
+        let state = self.runners.remove(key)?;
+        self.hashes.remove(&state.hash);
+        if let Some(keys) = self.services.get_mut(&state.record.service) {
+            keys.retain(|other| *other != key);
+        }
+        Some(key)
+    }
+
+    /// Stops sending new requests to the runner with this hash, as a peer read in the store.
+    pub fn leaving(&mut self, hash: u64) -> Option<RunnerName> {
+        let state = self.runners.get_mut(*self.hashes.get(&hash)?)?;
+        if !state.record.is_ready {
+            return None;
+        }
+        let record = RunnerRecord { is_ready: false, ..(*state.record).clone() };
+        state.record = record.into();
+        Some(state.record.name.clone())
+    }
+
+    /// Every known runner's name.
+    pub fn names(&self) -> Vec<RunnerName> {
+        self.names.keys().cloned().collect()
+    }
+
+    /// The number of runners that take requests.
+    pub fn ready_count(&self) -> usize {
+        self.runners.values().filter(|state| state.record.is_ready).count()
+    }
+
+    /// Counts a request that is sent to a runner.
+    pub fn begin(&mut self, key: RunnerKey, reading: u32) {
+        if let Some(state) = self.runners.get_mut(key) {
+            state.mine.requests += 1;
+            state.mine.reading += reading;
+        }
+    }
+
+    /// Counts that a runner has read a request's prompt.
+    pub fn prompt_read(&mut self, key: RunnerKey, reading: u32) {
+        if let Some(state) = self.runners.get_mut(key) {
+            state.mine.reading = state.mine.reading.saturating_sub(reading);
+        }
+    }
+
+    /// Counts that a request left a runner.
+    pub fn end(&mut self, key: RunnerKey) {
+        if let Some(state) = self.runners.get_mut(key) {
+            state.mine.requests = state.mine.requests.saturating_sub(1);
+        }
+    }
+
+    /// Notes that a runner answered.
+    pub fn answered(&mut self, key: RunnerKey) {
+        if let Some(state) = self.runners.get_mut(key) {
+            state.failures = 0;
+            state.avoided_until = Millis(0);
+        }
+    }
+
+    /// Avoids a runner that refused or broke a connection; returns for how long.
+    pub fn avoid(&mut self, key: RunnerKey, now: Millis) -> Millis {
+        let Some(state) = self.runners.get_mut(key) else {
+            return Millis(0);
+        };
+        let doubled = FIRST_AVOIDANCE.0 << state.failures.min(8);
+        let span = Millis(doubled.min(LONGEST_AVOIDANCE.0));
+        state.failures += 1;
+        state.avoided_until = now + span;
+        span
+    }
+
+    /// Takes in a peer's counts.
+    pub fn peer_loads(&mut self, peer: &str, loads: Vec<RunnerLoad>, now: Millis) {
+        for load in &loads {
+            let state = self.hashes.get(&load.runner).and_then(|key| self.runners.get_mut(*key));
+            if let Some(state) = state.filter(|_| load.avoided_ms > 0) {
+                state.avoided_until = state.avoided_until.max(now + Millis(u64::from(load.avoided_ms)));
+            }
+        }
+        self.peers.insert(peer.to_owned(), (now, loads));
+        self.sum_peers(now);
+    }
+
+    /// Forgets a peer's counts.
+    pub fn peer_lost(&mut self, peer: &str, now: Millis) {
+        self.peers.remove(peer);
+        self.sum_peers(now);
+    }
+
+    fn sum_peers(&mut self, now: Millis) {
+        for state in self.runners.values_mut() {
+            state.others = Load::default();
+        }
+        self.peers.retain(|_, (heard, _)| now.since(*heard) <= PEER_LOADS_EXPIRE);
+        for load in self.peers.values().flat_map(|(_, loads)| loads) {
+            let Some(state) = self.hashes.get(&load.runner).and_then(|key| self.runners.get_mut(*key)) else {
+                continue;
+            };
+            state.others.requests += load.requests;
+            state.others.reading += load.reading;
+        }
+    }
+
+    /// This daemon's counts, for its heartbeat.
+    pub fn own_loads(&self, now: Millis) -> Vec<RunnerLoad> {
+        self.runners
+            .values()
+            .map(|state| RunnerLoad {
+                runner: state.hash,
+                requests: state.mine.requests,
+                reading: state.mine.reading,
+                avoided_ms: u32::try_from(state.avoided_until.since(now).0).unwrap_or(u32::MAX),
+            })
+            .filter(|load| load.requests > 0 || load.avoided_ms > 0)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -0,0 +1,42 @@
+//! A known runner.
+
+use std::sync::Arc;
+
+use teaselcroft_parts::Millis;
+
+use super::Load;
+use crate::RunnerRecord;
+
+/// A known runner.
+#[derive(Debug)]
+pub(super) struct RunnerState {
+    /// What its entry says.
+    pub record: Arc<RunnerRecord>,
+    /// The hash of its name.
+    pub hash: u64,
+    /// What this daemon sent it.
+    pub mine: Load,
+    /// What other daemons sent it.
+    pub others: Load,
+    /// Connections refused or broken in a row.
+    pub failures: u32,
+    /// Until when it is avoided.
+    pub avoided_until: Millis,
+}
+
+impl RunnerState {
+    pub fn new(record: RunnerRecord, hash: u64) -> RunnerState {
+        RunnerState {
+            record: record.into(),
+            hash,
+            mine: Load::default(),
+            others: Load::default(),
+            failures: 0,
+            avoided_until: Millis(0),
+        }
+    }
+
+    pub fn load(&self) -> Load {
+        self.mine + self.others
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gate.rs
@@ -0,0 +1,201 @@
+//! What every task of a gateway daemon shares.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Instant;
+
+use async_channel::{Receiver, Sender};
+use teaselcroft_parts::Millis;
+
+use crate::connection_pool::ConnectionPool;
+use crate::crash_ledger::CrashLedger;
+use crate::dialect::Dialect;
+use crate::fleet::Fleet;
+use crate::heartbeat::{MemberRecord, Phase};
+use crate::metrics::Metrics;
+use crate::retry_ledger::RetryLedger;
+use crate::roster::Roster;
+use crate::{Configuration, Event, Settings, record};
+
+/// The share of the VM's memory that callers' buffered bodies may take, as a divisor.
+const BODY_MEMORY_SHARE: u64 = 4;
+
+/// The configuration in force, read and as the store holds it.
+#[derive(Debug)]
+struct InForce {
+    configuration: Arc<Configuration>,
+    raw: Arc<Vec<u8>>,
+}
+
+/// What every task of a gateway daemon shares.
+pub struct Gate<D> {
+    /// The settings.
+    pub settings: Settings,
+    /// How the platform names things.
+    pub dialect: D,
+    /// The known runners.
+    fleet: Mutex<Fleet>,
+    /// Idle connections to runners.
+    pool: Mutex<ConnectionPool>,
+    /// The known daemons.
+    roster: Mutex<Roster>,
+    /// Second sends against their budget.
+    retries: Mutex<RetryLedger>,
+    /// Requests that crash runners.
+    crashes: Mutex<CrashLedger>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Bytes of callers' bodies in memory.
+    pub body_bytes: AtomicU64,
+    /// Requests being served.
+    pub in_flight: AtomicUsize,
+    configuration: RwLock<Option<InForce>>,
+    stopping: AtomicBool,
+    stop_sender: Sender<()>,
+    stop: Receiver<()>,
+    start: Instant,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<D: Dialect> Gate<D> {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: Settings, dialect: D) -> Gate<D> {
+        let me = MemberRecord {
+            name: settings.daemon.to_string(),
+            incarnation: incarnation(),
+            zone: settings.zone.to_string(),
+            ip: settings.ip.to_string(),
+            front_port: settings.front.port().into(),
+            peer_port: settings.peer.port().into(),
+            phase: Phase::Starting.into(),
+        };
+        let (stop_sender, stop) = async_channel::bounded(1);
+        Gate {
+            dialect,
+            fleet: Mutex::new(Fleet::new(settings.zone.clone())),
+            pool: Mutex::default(),
+            roster: Mutex::new(Roster::new(me)),
+            retries: Mutex::new(RetryLedger::new(settings.bounds.clone())),
+            crashes: Mutex::default(),
+            metrics: Metrics::default(),
+            body_bytes: AtomicU64::new(0),
+            in_flight: AtomicUsize::new(0),
+            configuration: RwLock::new(None),
+            stopping: AtomicBool::new(false),
+            stop_sender,
+            stop,
+            start: Instant::now(),
+            settings,
+        }
+    }
+
+    /// The time since the start.
+    pub fn now(&self) -> Millis {
+        self.start.elapsed().into()
+    }
+
+    /// The known runners.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Idle connections to runners.
+    pub fn pool(&self) -> MutexGuard<'_, ConnectionPool> {
+        lock(&self.pool)
+    }
+
+    /// The known daemons.
+    pub fn roster(&self) -> MutexGuard<'_, Roster> {
+        lock(&self.roster)
+    }
+
+    /// Second sends against their budget.
+    pub fn retries(&self) -> MutexGuard<'_, RetryLedger> {
+        lock(&self.retries)
+    }
+
+    /// Requests that crash runners.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
+        lock(&self.crashes)
+    }
+
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
+        current.as_ref().map(|in_force| in_force.configuration.clone())
+    }
+
+    /// The configuration in force as the store holds it.
+    pub fn raw_configuration(&self) -> Option<Arc<Vec<u8>>> {
+        let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
+        current.as_ref().map(|in_force| in_force.raw.clone())
+    }
+
+    /// Puts a configuration in force unless one at least as new is; versions never go back.
+    pub fn apply_configuration(&self, raw: Vec<u8>, source: &str) {
+        let configuration = match self.dialect.configuration(&raw) {
+            Ok(configuration) => configuration,
+            Err(error) => {
+                record!(Event::EntryIgnored, key = self.dialect.configuration_key(), reason = error, source = source);
+                return;
+            }
+        };
+        let mut current = self.configuration.write().unwrap_or_else(PoisonError::into_inner);
+        let old = current.as_ref().map(|in_force| in_force.configuration.version);
+        if old.is_some_and(|old| old >= configuration.version) {
+            return;
+        }
+        record!(
+            Event::ConfigApplied,
+            version = configuration.version,
+            previous = old.unwrap_or_default(),
+            routes = configuration.routes.len(),
+            keys = configuration.customers.len(),
+            source = source
+        );
+        self.metrics.version.set(i64::try_from(configuration.version.0).unwrap_or(i64::MAX));
+        *current = Some(InForce { configuration: configuration.into(), raw: raw.into() });
+        drop(current);
+        if !self.is_stopping() {
+            self.roster().me.phase = Phase::Ready.into();
+        }
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.roster().me.phase() == Phase::Ready
+    }
+
+    /// Whether a planned stop began.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+        self.roster().me.phase = Phase::Leaving.into();
+        self.stop_sender.close();
+    }
+
+    /// Waits until a planned stop begins.
+    pub async fn stopped(&self) {
+        // Nothing is ever sent: the channel closes when the stop begins.
+        let _closed = self.stop.recv().await;
+    }
+
+    /// Whether a body of `bytes` fits the memory for bodies.
+    pub fn has_room(&self, bytes: u64) -> bool {
+        let most = self.settings.memory_mb * 1_000_000 / BODY_MEMORY_SHARE;
+        self.body_bytes.load(Ordering::Relaxed) + bytes <= most
+    }
+}
+
+/// A number that rises with each start of a VM's daemon, as long as its time of day does.
+fn incarnation() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/gateway/src/heartbeat.rs
@@ -0,0 +1,90 @@
+//! What daemons tell each other: one datagram at a time.
+
+/// The state of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Phase {
+    /// It has no configuration yet.
+    Starting = 0,
+    /// It serves callers.
+    Ready = 1,
+    /// A planned stop began.
+    Leaving = 2,
+}
+
+/// A daemon as it is known to others.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct MemberRecord {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Rises with each start.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Its availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Its VM's address.
+    #[prost(string, tag = "4")]
+    pub ip: String,
+    /// The port for callers.
+    #[prost(uint32, tag = "5")]
+    pub front_port: u32,
+    /// The port for other daemons.
+    #[prost(uint32, tag = "6")]
+    pub peer_port: u32,
+    /// Its state.
+    #[prost(enumeration = "Phase", tag = "7")]
+    pub phase: i32,
+}
+
+/// One daemon's use of a runner.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct RunnerLoad {
+    /// A hash of the runner's name.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// Requests under way.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Prompt tokens that are still to be read.
+    #[prost(uint32, tag = "3")]
+    pub reading: u32,
+    /// Milliseconds for which the runner is avoided, or 0.
+    #[prost(uint32, tag = "4")]
+    pub avoided_ms: u32,
+}
+
+/// A request after which runners broke off.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Crash {
+    /// A hash of the request's content.
+    #[prost(fixed64, tag = "1")]
+    pub content: u64,
+    /// A hash of the runner's name and start.
+    #[prost(fixed64, tag = "2")]
+    pub runner: u64,
+}
+
+/// What a daemon tells the others, several times a second.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Heartbeat {
+    /// The sender.
+    #[prost(message, optional, tag = "1")]
+    pub member: Option<MemberRecord>,
+    /// The newest configuration it has.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Its use of runners.
+    #[prost(message, repeated, tag = "3")]
+    pub loads: Vec<RunnerLoad>,
+    /// Crashes that it saw lately.
+    #[prost(message, repeated, tag = "4")]
+    pub crashes: Vec<Crash>,
+    /// Hashes of runners that the store lately said are leaving or gone.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub gone: Vec<u64>,
+    /// Some other members it knows, for daemons that lack the store.
+    #[prost(message, repeated, tag = "6")]
+    pub members: Vec<MemberRecord>,
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Counters and histograms of the gateway.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Labels of a request's end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndLabels {
+    /// The route's kind.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// Labels of a call to the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// The kind of call.
+    pub call: &'static str,
+    /// What came of it.
+    pub outcome: &'static str,
+}
+
+/// What a gateway daemon measures.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests ended.
+    pub ended: Family<EndLabels, Counter>,
+    /// Attempts at runners that failed.
+    pub failed_attempts: Counter,
+    /// Second sends.
+    pub repeats: Counter,
+    /// Second sends that the budget did not allow.
+    pub repeats_denied: Counter,
+    /// Requests being served.
+    pub in_flight: Gauge,
+    /// Time from arrival to the first byte of the answer, in seconds.
+    pub first_seconds: Histogram,
+    /// Time from arrival to the end, in seconds.
+    pub seconds: Histogram,
+    /// Calls to the store.
+    pub store_calls: Family<StoreLabels, Counter>,
+    /// The configuration in force.
+    pub version: Gauge,
+    /// Runners that take requests.
+    pub runners: Gauge,
+    /// Peers that are ready and heard.
+    pub peers: Gauge,
+    /// New connections to runners.
+    pub connects: Counter,
+    /// Log lines dropped.
+    pub lines_dropped: Counter,
+}
+
+fn buckets() -> Histogram {
+    Histogram::new([0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 4.0, 8.0, 16.0])
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("teaselcroft_gateway"),
+            ended: Family::default(),
+            failed_attempts: Counter::default(),
+            repeats: Counter::default(),
+            repeats_denied: Counter::default(),
+            in_flight: Gauge::default(),
+            first_seconds: buckets(),
+            seconds: buckets(),
+            store_calls: Family::default(),
+            version: Gauge::default(),
+            runners: Gauge::default(),
+            peers: Gauge::default(),
+            connects: Counter::default(),
+            lines_dropped: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests ended", self.ended.clone());
+        registry.register("failed_attempts", "Attempts at runners that failed", self.failed_attempts.clone());
+        registry.register("repeats", "Second sends", self.repeats.clone());
+        registry.register("repeats_denied", "Second sends over the budget", self.repeats_denied.clone());
+        registry.register("requests_in_flight", "Requests being served", self.in_flight.clone());
+        registry.register("first_byte_seconds", "Time to the answer's first byte", self.first_seconds.clone());
+        registry.register("request_seconds", "Time to the end", self.seconds.clone());
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("configuration_version", "The configuration in force", self.version.clone());
+        registry.register("runners_ready", "Runners that take requests", self.runners.clone());
+        registry.register("peers_live", "Peers that are ready and heard", self.peers.clone());
+        registry.register("runner_connections", "New connections to runners", self.connects.clone());
+        registry.register("log_lines_dropped", "Log lines dropped", self.lines_dropped.clone());
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# metrics cannot be written: {error}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,174 @@
+//! Heartbeats between daemons, and configurations fetched from peers.
+
+use std::collections::HashSet;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_io::{Async, Timer};
+use prost::Message;
+use teaselcroft_parts::Millis;
+
+use crate::dialect::Dialect;
+use crate::gate::Gate;
+use crate::heartbeat::{Heartbeat, MemberRecord};
+use crate::http_client::HttpClient;
+use crate::{ConfigVersion, Event, record};
+
+/// The shortest time between heartbeats to all peers.
+const HEARTBEAT_TIME: Millis = Millis(120);
+
+/// The time that each known peer adds between heartbeats, so that a daemon sends a bounded number a second.
+const TIME_FOR_PEER: Millis = Millis(10);
+
+/// Members named in one heartbeat, for daemons that lack the store.
+const MEMBERS_TOLD: usize = 4;
+
+/// The largest heartbeat.
+const MAX_DATAGRAM: usize = 16 * 1024;
+
+/// The longest time for a peer to send its configuration.
+const FETCH_TIME: Millis = Millis(1_000);
+
+/// How long a newer configuration may take through the store before it is fetched from the peer that has it.
+const FETCH_DELAY: Millis = Millis(150);
+
+/// The path of the configuration at a peer.
+pub const CONFIGURATION_PATH: &str = "/configuration";
+
+/// Sends heartbeats for good.
+pub async fn send_heartbeats<D: Dialect>(gate: Arc<Gate<D>>, socket: Arc<Async<UdpSocket>>) {
+    let mut last = gate.now();
+    loop {
+        let now = gate.now();
+        let targets = targets(&gate);
+        let heartbeat = compose(&gate, now).encode_to_vec();
+        for target in &targets {
+            if let Err(error) = socket.send_to(&heartbeat, *target).await {
+                log::debug!("a heartbeat to {target} was not sent: {error}");
+            }
+        }
+        let silent = gate.roster().sweep(now, last);
+        for name in silent {
+            record!(Event::PeerLost, peer = name);
+            gate.fleet().peer_lost(&name, now);
+        }
+        gate.metrics.peers.set(i64::try_from(gate.roster().live_count(now)).unwrap_or(i64::MAX));
+        last = now;
+        let pause = HEARTBEAT_TIME.0.max(TIME_FOR_PEER.0 * targets.len() as u64);
+        Timer::after(Millis(pause).into()).await;
+    }
+}
+
+fn targets<D: Dialect>(gate: &Gate<D>) -> Vec<SocketAddr> {
+    let port = gate.settings.heartbeat_port;
+    let roster = gate.roster();
+    let mut ips: Vec<std::net::IpAddr> = roster.peers().filter_map(|peer| peer.record.ip.parse().ok()).collect();
+    ips.extend(gate.settings.seeds.iter().map(SocketAddr::ip));
+    ips.sort_unstable();
+    ips.dedup();
+    ips.into_iter().filter(|ip| *ip != gate.settings.ip).map(|ip| SocketAddr::new(ip, port)).collect()
+}
+
+fn compose<D: Dialect>(gate: &Gate<D>, now: Millis) -> Heartbeat {
+    let (member, mut members) = {
+        let roster = gate.roster();
+        (roster.me.clone(), roster.peers().map(|peer| peer.record.clone()).collect::<Vec<MemberRecord>>())
+    };
+    fastrand::shuffle(&mut members);
+    members.truncate(MEMBERS_TOLD);
+    Heartbeat {
+        member: Some(member),
+        version: gate.configuration().map_or(0, |configuration| configuration.version.0),
+        loads: gate.fleet().own_loads(now),
+        crashes: gate.crashes().news(now),
+        gone: Vec::new(),
+        members,
+    }
+}
+
+/// Takes in heartbeats for good.
+pub async fn hear_heartbeats<D: Dialect>(
+    gate: Arc<Gate<D>>,
+    socket: Arc<Async<UdpSocket>>,
+    executor: Arc<smol::Executor<'static>>,
+) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    let fetching = Arc::new(Mutex::new(HashSet::new()));
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!("a heartbeat could not be received: {error}");
+                Timer::after(HEARTBEAT_TIME.into()).await;
+                continue;
+            }
+        };
+        match Heartbeat::decode(&buffer[..length]) {
+            Ok(heartbeat) => take_in(&gate, heartbeat, &executor, &fetching),
+            Err(error) => log::debug!("a heartbeat cannot be read: {error}"),
+        }
+    }
+}
+
+fn take_in<D: Dialect>(
+    gate: &Arc<Gate<D>>,
+    heartbeat: Heartbeat,
+    executor: &smol::Executor<'static>,
+    fetching: &Arc<Mutex<HashSet<u64>>>,
+) {
+    let now = gate.now();
+    let Some(member) = heartbeat.member else {
+        return;
+    };
+    let (name, address) = (member.name.clone(), (member.ip.clone(), member.peer_port));
+    {
+        let mut roster = gate.roster();
+        if roster.heard(member, now) {
+            record!(Event::PeerHeard, peer = name);
+        }
+        for known in heartbeat.members {
+            roster.learn(known, false, now);
+        }
+    }
+    gate.fleet().peer_loads(&name, heartbeat.loads, now);
+    for crash in heartbeat.crashes {
+        gate.crashes().note(crash, false, now);
+    }
+    if !is_newer(gate, heartbeat.version) {
+        return;
+    }
+    let Ok(ip) = address.0.parse() else {
+        return;
+    };
+    let is_first = fetching.lock().unwrap_or_else(PoisonError::into_inner).insert(heartbeat.version);
+    if is_first {
+        let source = SocketAddr::new(ip, u16::try_from(address.1).unwrap_or(0));
+        let (gate, fetching, version) = (gate.clone(), fetching.clone(), heartbeat.version);
+        executor
+            .spawn(async move {
+                fetch(&gate, source, version, &name).await;
+                fetching.lock().unwrap_or_else(PoisonError::into_inner).remove(&version);
+            })
+            .detach();
+    }
+}
+
+fn is_newer<D: Dialect>(gate: &Gate<D>, version: u64) -> bool {
+    let current = gate.configuration().map(|configuration| configuration.version);
+    current.unwrap_or_default() < ConfigVersion(version)
+}
+
+/// Fetches a configuration from a peer unless it arrives through the store first.
+async fn fetch<D: Dialect>(gate: &Gate<D>, source: SocketAddr, version: u64, peer: &str) {
+    if gate.configuration().is_some() {
+        Timer::after(FETCH_DELAY.into()).await;
+    }
+    if !is_newer(gate, version) {
+        return;
+    }
+    match HttpClient::new(source).call("GET", CONFIGURATION_PATH, &[], FETCH_TIME).await {
+        Ok(reply) if reply.status == 200 => gate.apply_configuration(reply.body, peer),
+        Ok(reply) => log::debug!("{peer} answered {} instead of its configuration", reply.status),
+        Err(error) => log::debug!("{peer} did not send its configuration: {error}"),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/retry_ledger.rs
@@ -0,0 +1,68 @@
+//! Keeps second sends within a share of first ones, in all daemons together without a call between them.
+
+use std::collections::{HashMap, VecDeque};
+
+use teaselcroft_parts::{Millis, ModelName};
+
+use crate::settings::Bounds;
+
+/// How much of the stated budget is used; the rest covers daemons that count differently for a moment.
+const USED_SHARE: f64 = 0.8;
+
+#[derive(Debug, Default)]
+struct Window {
+    seconds: VecDeque<(u64, u32, u32)>,
+}
+
+impl Window {
+    fn count(&mut self, now: Millis, span: Millis) -> &mut (u64, u32, u32) {
+        let second = now.0 / 1_000;
+        while self.seconds.front().is_some_and(|(first, _, _)| first * 1_000 + span.0 < now.0) {
+            self.seconds.pop_front();
+        }
+        if self.seconds.back().is_none_or(|(last, _, _)| *last != second) {
+            self.seconds.push_back((second, 0, 0));
+        }
+        let last = self.seconds.len() - 1;
+        &mut self.seconds[last]
+    }
+
+    fn sums(&self) -> (u32, u32) {
+        self.seconds.iter().fold((0, 0), |(firsts, repeats), (_, one, other)| (firsts + one, repeats + other))
+    }
+}
+
+/// Counts first and second sends for each service.
+#[derive(Debug)]
+pub struct RetryLedger {
+    bounds: Bounds,
+    windows: HashMap<ModelName, Window>,
+}
+
+impl RetryLedger {
+    /// A ledger within `bounds`.
+    pub fn new(bounds: Bounds) -> RetryLedger {
+        RetryLedger { bounds, windows: HashMap::new() }
+    }
+
+    /// Counts a request's first send.
+    pub fn first(&mut self, service: &ModelName, now: Millis) {
+        let span = self.bounds.retry_window.into();
+        self.windows.entry(service.clone()).or_default().count(now, span).1 += 1;
+    }
+
+    /// Counts a second send if the budget of `daemons` daemons allows this one another.
+    pub fn repeat(&mut self, service: &ModelName, daemons: usize, now: Millis) -> bool {
+        let span = self.bounds.retry_window.into();
+        let window = self.windows.entry(service.clone()).or_default();
+        window.count(now, span);
+        let (firsts, repeats) = window.sums();
+        let slack = self.bounds.retry_slack / daemons.max(1) as f64;
+        let allowed = USED_SHARE * (self.bounds.retry_ratio * f64::from(firsts) + slack);
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        window.count(now, span).2 += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,108 @@
+//! Runs a gateway daemon until a signal asks it to stop.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use error_stack::{Report, ResultExt};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::dialect::Dialect;
+use crate::log_setup::start_logging;
+use crate::store::Store;
+use crate::{Event, GatewayDaemon, Settings, record};
+
+/// How the program ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExitCode {
+    /// Everything went well.
+    Success,
+    /// The daemon could not run.
+    Failure,
+    /// The settings cannot be used.
+    BadInput,
+}
+
+impl From<ExitCode> for std::process::ExitCode {
+    fn from(code: ExitCode) -> std::process::ExitCode {
+        std::process::ExitCode::from(match code {
+            ExitCode::Success => 0,
+            ExitCode::Failure => 1,
+            ExitCode::BadInput => 2,
+        })
+    }
+}
+
+/// Why a gateway daemon could not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunError {
+    /// The settings cannot be used.
+    Settings,
+    /// An address cannot be opened.
+    Address(SocketAddr),
+    /// Logging, a signal handler or a thread could not be set up.
+    Start,
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RunError::Settings => f.write_str("the settings cannot be used; correct the named key"),
+            RunError::Address(address) => write!(f, "cannot listen at {address}; check that it is free and this VM's"),
+            RunError::Start => f.write_str("the daemon cannot start; check its limits on threads and files"),
+        }
+    }
+}
+
+impl std::error::Error for RunError {}
+
+impl RunError {
+    /// The exit code that fits.
+    pub const fn exit_code(self) -> ExitCode {
+        match self {
+            RunError::Settings => ExitCode::BadInput,
+            RunError::Address(_) | RunError::Start => ExitCode::Failure,
+        }
+    }
+}
+
+/// Runs a daemon with the settings at `path`, or only checks them.
+///
+/// # Errors
+///
+/// The settings cannot be used, or the daemon cannot start.
+pub fn run_gateway<D: Dialect, S: Store>(
+    path: &Path,
+    check: bool,
+    adapters: impl FnOnce(&Settings) -> (D, S),
+) -> Result<ExitCode, Report<RunError>> {
+    let settings = Settings::load(path).change_context(RunError::Settings)?;
+    if check {
+        println!("{}: settings are valid", path.display());
+        return Ok(ExitCode::Success);
+    }
+    let logger = start_logging("info").change_context(RunError::Start)?;
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).change_context(RunError::Start)?;
+    let (dialect, store) = adapters(&settings);
+    let daemon = GatewayDaemon::start(settings.clone(), dialect, store)?;
+    let reload = |signal: &i32| {
+        if *signal == SIGHUP {
+            log_reload(path, &settings);
+        }
+        *signal != SIGHUP
+    };
+    signals.forever().find(reload);
+    smol::block_on(daemon.stop());
+    logger.flush();
+    Ok(ExitCode::Success)
+}
+
+/// Says what a changed settings file would change; a restart puts it in force.
+fn log_reload(path: &Path, current: &Settings) {
+    match Settings::load(path) {
+        Ok(settings) if settings == *current => record!(Event::SettingsReloaded, outcome = "unchanged"),
+        Ok(_) => record!(Event::SettingsReloaded, outcome = "changed; restart to put it in force"),
+        Err(error) => record!(Event::SettingsReloaded, outcome = error),
+    }
+}
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod millis;
 mod names;
+mod numbered_events;
 mod outage_consent;
 mod rendezvous;
 mod retry_budget;
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -1,37 +1,6 @@
 //! Numbered log events.
 
-macro_rules! events {
-    ($($(#[doc = $doc:literal])* $name:ident = $number:literal;)*) => {
-        /// A kind of log event.
-        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-        #[repr(u32)]
-        pub enum Event {
-            $($(#[doc = $doc])* $name = $number,)*
-        }
-
-        impl Event {
-            /// Every event.
-            pub const ALL: &[Event] = &[$(Event::$name),*];
-
-            /// The event's name.
-            pub const fn name(self) -> &'static str {
-                match self { $(Event::$name => stringify!($name),)* }
-            }
-
-            /// What the event records.
-            pub const fn text(self) -> &'static str {
-                match self { $(Event::$name => concat!($($doc),*),)* }
-            }
-
-            /// The event's number.
-            pub const fn number(self) -> u32 {
-                self as u32
-            }
-        }
-    };
-}
-
-events! {
+teaselcroft_parts::numbered_events! {
     /// The daemon started.
     DaemonStarted = 101;
     /// A planned stop began.
