Refuse what a planned stop cannot end

Ruled out: the exit itself (it waits for requests under way up to the grace time); the address answers (they no longer name it; some callers keep old ones). Change: 2.5 s after a stop began only requests are taken whose route's timeout fits into what is left; the others get 503 at once.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -29,9 +29,6 @@
 /// A planned stop lasts at least so long, for callers keep addresses a while.
 const SHORTEST_STOP: Millis = Millis(2_500);
 
-/// A planned stop ends so long before the platform would kill the process.
-const STOP_MARGIN: Millis = Millis(350);
-
 /// The time between looks at whether all requests have ended.
 const STOP_LOOK: Millis = Millis(50);
 
@@ -114,7 +111,7 @@
             let revoked = futures_lite::future::or(revoke, late).await;
             log::debug!("the lease was ended: {revoked}");
         }
-        let longest = Millis::from(self.gate.settings.bounds.grace).since(STOP_MARGIN);
+        let longest = self.gate.longest_stop();
         loop {
             let took = self.gate.now().since(begun);
             let in_flight = self.gate.in_flight.load(Ordering::Acquire);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -33,6 +33,9 @@
 /// When callers may come back to a daemon that has no configuration yet.
 const RETRY_START: Duration = Duration::from_millis(300);
 
+/// When callers of a daemon that stops may come back, to another one.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// Bytes of further requests that are read while one is being served.
 const MOST_PIPELINED: usize = 64 * 1024;
 
@@ -199,6 +202,11 @@
     let Some(route) = route else {
         return Err(deny(404, "no route\n"));
     };
+    if !gate.takes(route.timeout) {
+        record!(Event::Rejected, request = caller.request, service = route.name, reason = "this daemon stops");
+        let reply = Reply::text(503, "not run; this daemon stops\n");
+        return Err(Some(Reply { retry_after: Some(RETRY_ELSEWHERE), ..reply }));
+    }
     let customer = customer_of(&configuration, caller.key.as_deref()).cloned();
     if configuration.needs_key && !route.is_public && customer.is_none() {
         return Err(deny(401, "unknown key\n"));
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,7 +1,7 @@
 //! What every task of a gateway daemon shares.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
@@ -50,12 +50,19 @@
     /// Requests being served.
     pub in_flight: AtomicUsize,
     configuration: RwLock<Option<InForce>>,
-    stopping: AtomicBool,
+    stop_began: OnceLock<Millis>,
     stop_sender: Sender<()>,
     stop: Receiver<()>,
     start: Instant,
 }
 
+/// A planned stop ends so long before the platform would kill the process.
+const STOP_MARGIN: Millis = Millis(350);
+
+/// How long after the beginning of a planned stop any request is taken; callers keep addresses for up to
+/// two seconds.
+const STOP_TAKES: Millis = Millis(2_500);
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -84,7 +91,7 @@
             body_bytes: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
             configuration: RwLock::new(None),
-            stopping: AtomicBool::new(false),
+            stop_began: OnceLock::new(),
             stop_sender,
             stop,
             start: Instant::now(),
@@ -171,12 +178,28 @@
 
     /// Whether a planned stop began.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stop_began.get().is_some()
+    }
+
+    /// How long ago a planned stop began.
+    pub fn stopping_for(&self) -> Option<Millis> {
+        self.stop_began.get().map(|began| self.now().since(*began))
+    }
+
+    /// How long a planned stop lasts at most.
+    pub fn longest_stop(&self) -> Millis {
+        Millis::from(self.settings.bounds.grace).since(STOP_MARGIN)
+    }
+
+    /// Whether a request that may take `longest` is still taken: early in a planned stop any is, for callers
+    /// need a moment to learn other addresses; later only what surely ends before the process does.
+    pub fn takes(&self, longest: Millis) -> bool {
+        self.stopping_for().is_none_or(|past| past <= STOP_TAKES || past + longest <= self.longest_stop())
     }
 
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+        self.stop_began.get_or_init(|| self.now());
         self.roster().me.phase = Phase::Leaving.into();
         self.stop_sender.close();
     }
