Place prompts where their shared parts are; close before exit

Ruled out for (1): more weight for the home alone (homes are uneven, busiest/mean 1.64). Change: daemons tell each other in heartbeats where they sent which beginnings of prompts; a request goes where waiting, reading and fetching cost least. The door closes before the last look.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,7 +1,6 @@
 //! Starts and stops a gateway daemon.
 
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
@@ -99,7 +98,7 @@
     /// Stops as planned: callers are led elsewhere, requests under way end first.
     pub async fn stop(&self) {
         let begun = self.gate.now();
-        record!(Event::GatewayStopping, in_flight = self.gate.in_flight.load(Ordering::Acquire));
+        record!(Event::GatewayStopping, in_flight = self.gate.in_flight());
         self.gate.begin_stop();
         let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner).take();
         if let Some(lease) = lease {
@@ -114,9 +113,8 @@
         let longest = self.gate.longest_stop();
         loop {
             let took = self.gate.now().since(begun);
-            let in_flight = self.gate.in_flight.load(Ordering::Acquire);
-            if took >= longest || (took >= SHORTEST_STOP && in_flight == 0) {
-                record!(Event::GatewayStopped, took = took, in_flight = in_flight);
+            if took >= SHORTEST_STOP && self.gate.close(took >= longest) {
+                record!(Event::GatewayStopped, took = took, in_flight = self.gate.in_flight());
                 return;
             }
             Timer::after(STOP_LOOK.into()).await;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The runners that are known, what they carry, and which one a request goes to.
 
 mod ask;
+mod cache_map;
 mod load;
 mod placement;
 mod runner_state;
@@ -10,10 +11,12 @@
 use slotmap::{SlotMap, new_key_type};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
 
+use crate::Prompt;
 use crate::RunnerRecord;
-use crate::heartbeat::RunnerLoad;
+use crate::heartbeat::{CacheNews, RunnerLoad};
 
 pub use ask::Ask;
+use cache_map::{CacheMap, shared_chains};
 pub use load::Load;
 pub use placement::Placement;
 use runner_state::RunnerState;
@@ -32,6 +35,12 @@
 /// The longest time for which a runner is avoided before it is tried again.
 const LONGEST_AVOIDANCE: Millis = Millis(1_600);
 
+/// How long peers are told where a beginning was sent; more than one heartbeat, since datagrams get lost.
+const NEWS_TOLD: Millis = Millis(300);
+
+/// Beginnings in one heartbeat at most.
+const MOST_NEWS: usize = 128;
+
 /// The runners that are known.
 #[derive(Debug)]
 pub struct Fleet {
@@ -41,6 +50,8 @@
     hashes: HashMap<u64, RunnerKey>,
     services: HashMap<ModelName, Vec<RunnerKey>>,
     peers: HashMap<String, (Millis, Vec<RunnerLoad>)>,
+    caches: CacheMap,
+    news: Vec<(Millis, CacheNews)>,
 }
 
 /// The hash by which daemons name a runner to each other.
@@ -58,6 +69,8 @@
             hashes: HashMap::new(),
             services: HashMap::new(),
             peers: HashMap::new(),
+            caches: CacheMap::default(),
+            news: Vec::new(),
         }
     }
 
@@ -88,6 +101,7 @@
         let key = self.names.remove(name)?;
         let state = self.runners.remove(key)?;
         self.hashes.remove(&state.hash);
+        self.caches.forget(key);
         if let Some(keys) = self.services.get_mut(&state.record.service) {
             keys.retain(|other| *other != key);
         }
@@ -123,6 +137,32 @@
         }
     }
 
+    /// Notes that a runner will have a prompt's beginning in its cache.
+    pub fn cached(&mut self, key: RunnerKey, prompt: &Prompt, now: Millis) {
+        let Some(state) = self.runners.get(key) else {
+            return;
+        };
+        for chain in shared_chains(prompt) {
+            self.caches.note(chain.hash, key, now);
+            self.news.push((now, CacheNews { chain: chain.hash, runner: state.hash }));
+        }
+    }
+
+    /// Takes in where peers sent which beginnings.
+    pub fn peer_caches(&mut self, news: &[CacheNews], now: Millis) {
+        for one in news {
+            if let Some(key) = self.hashes.get(&one.runner) {
+                self.caches.note(one.chain, *key, now);
+            }
+        }
+    }
+
+    /// Where this daemon lately sent which beginnings.
+    pub fn cache_news(&mut self, now: Millis) -> Vec<CacheNews> {
+        self.news.retain(|(at, _)| now.since(*at) < NEWS_TOLD);
+        self.news.iter().map(|(_, news)| *news).take(MOST_NEWS).collect()
+    }
+
     /// Counts that a runner has read a request's prompt.
     pub fn prompt_read(&mut self, key: RunnerKey, reading: u32) {
         if let Some(state) = self.runners.get_mut(key) {
--- a/crates/gateway/src/fleet/ask.rs
+++ b/crates/gateway/src/fleet/ask.rs
@@ -26,11 +26,4 @@
     pub fn is_interactive(&self) -> bool {
         self.longest_pause.is_some_and(|pause| pause <= INTERACTIVE_PAUSE)
     }
-
-    /// The hash of the part by which requests with a common beginning find the same runner.
-    pub fn home_seed(&self) -> Option<u64> {
-        let prompt = self.prompt?;
-        let first = prompt.shared().first()?;
-        Some(rapidhash::v3::rapidhash_v3(&first.id.to_le_bytes()))
-    }
 }
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -5,6 +5,7 @@
 
 use teaselcroft_parts::Millis;
 
+use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
 use super::{Ask, Fleet, Load, RunnerKey};
 use crate::RunnerRecord;
@@ -15,12 +16,13 @@
 /// What one more request in a batch adds to the wait of the others, in milliseconds.
 const REQUEST_MS: f64 = 2.0;
 
-/// How much longer a request may wait at the runner that has its prompt cached, in milliseconds, before
-/// another runner fetches the cached part.
-const HOME_BONUS_MS: f64 = 250.0;
+/// What fetching a cached token from another runner costs, as time: fetching is quick, but the memory moved
+/// has its price, so that a request rather waits for the runner that has its beginning while it is in time.
+const FETCH_MS: f64 = 0.04;
 
-/// The same for runners further down the order, so that copies gather on few runners.
-const RANK_MS: f64 = 15.0;
+/// What a later place in the order of runners costs, in milliseconds: daemons that meet a new beginning at the
+/// same moment choose the same runner.
+const RANK_MS: f64 = 5.0;
 
 /// Runners that are ordered by rank; those behind them count alike.
 const RANKED: usize = 4;
@@ -63,7 +65,7 @@
         let sound = usable(false);
         let candidates = if sound.is_empty() { usable(true) } else { sound };
         match ask.prompt {
-            Some(_) => self.choose_engine(ask, candidates),
+            Some(_) => self.choose_engine(ask, candidates, now),
             None => self.choose_plain(candidates),
         }
     }
@@ -82,39 +84,38 @@
         Some(Placement { key, record: state.record.clone(), fetch_from: None, reading: 0, load: state.load() })
     }
 
-    fn choose_engine(&self, ask: &Ask<'_>, mut candidates: Vec<(RunnerKey, &RunnerState)>) -> Option<Placement> {
+    fn choose_engine(
+        &self,
+        ask: &Ask<'_>,
+        candidates: Vec<(RunnerKey, &RunnerState)>,
+        now: Millis,
+    ) -> Option<Placement> {
         let prompt = ask.prompt?;
-        let seed = ask.home_seed();
+        let chains = shared_chains(prompt);
+        let (held_tokens, holders) = self.caches.longest_held(&chains, now);
+        let source = holders.iter().find_map(|key| self.runners.get(*key));
+        let shared = prompt.shared_tokens();
+        let own = prompt.input_tokens.saturating_sub(shared);
         let interactive = self.interactive_bound(&candidates);
-        let on_side = |state: &RunnerState| (side_hash(state) <= interactive) == ask.is_interactive();
-        candidates.sort_by_key(|(_, state)| {
-            let rank = seed.map_or(0, |seed| std::cmp::Reverse(mix(seed, state.hash)).0);
-            (!on_side(state), std::cmp::Reverse(rank))
-        });
-        let bonus = f64::from(prompt.shared_tokens()).min(HOME_BONUS_MS * READ_TOKENS_PER_MS) / READ_TOKENS_PER_MS;
-        let cost = |index: usize, state: &RunnerState| {
+        let seed = chains.first().map_or(0, |chain| chain.hash);
+        let mut ranked = candidates;
+        ranked.sort_by_key(|(_, state)| mix(seed, state.hash));
+        let option = |(rank, (key, state)): (usize, (RunnerKey, &RunnerState))| {
+            let cached = self.caches.cached_tokens(&chains, key, now);
+            let fetched = held_tokens.saturating_sub(cached);
+            let reading = own + shared.saturating_sub(cached.max(held_tokens));
             let load = state.load();
-            let wait = f64::from(load.reading) / READ_TOKENS_PER_MS + f64::from(load.requests) * REQUEST_MS;
-            let side = if on_side(state) { 0.0 } else { SIDE_MS };
-            let home = match index {
-                0 => 0.0,
-                _ if seed.is_some() => bonus + RANK_MS * index.min(RANKED) as f64,
-                _ => 0.0,
-            };
-            wait + side + home
+            let is_on_side = (side_hash(state) <= interactive) == ask.is_interactive();
+            let cost = f64::from(load.reading + reading) / READ_TOKENS_PER_MS
+                + f64::from(load.requests) * REQUEST_MS
+                + f64::from(fetched) * FETCH_MS
+                + RANK_MS * rank.min(RANKED) as f64
+                + if is_on_side { 0.0 } else { SIDE_MS };
+            let fetch_from = source.filter(|_| fetched > 0).map(|source| source.record.address);
+            (cost, Placement { key, record: state.record.clone(), fetch_from, reading, load })
         };
-        let home = candidates.first().map(|(_, state)| state.record.clone())?;
-        let (key, state) = candidates
-            .iter()
-            .enumerate()
-            .map(|(index, (key, state))| (cost(index, state), *key, *state))
-            .min_by(|one, other| one.0.total_cmp(&other.0))
-            .map(|(_, key, state)| (key, state))?;
-        let is_home = state.record.name == home.name;
-        let shared = prompt.shared_tokens();
-        let fetch_from = (!is_home && shared > 0).then_some(home.address);
-        let reading = prompt.input_tokens.saturating_sub(shared);
-        Some(Placement { key, record: state.record.clone(), fetch_from, reading, load: state.load() })
+        let best = ranked.into_iter().enumerate().map(option).min_by(|one, other| one.0.total_cmp(&other.0))?;
+        Some(best.1)
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -84,6 +84,9 @@
             return Attempt::Unreached;
         };
         let mut under_way = UnderWay::begin(self.gate, placement.key, placement.reading);
+        if let Some(prompt) = &self.job.caller.prompt {
+            self.gate.fleet().cached(placement.key, prompt, self.gate.now());
+        }
         let message = self.encode(placement);
         self.caller.note_offer(true);
         self.runs += 1;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -109,8 +109,7 @@
     limits: &CallerLimits,
 ) -> bool {
     let arrived = gate.now();
-    gate.in_flight.fetch_add(1, Ordering::AcqRel);
-    gate.metrics.in_flight.inc();
+    gate.enter();
     let body = read_body(gate, inbound, &head, limits).await;
     let keep_alive = head.keeps_alive() && !gate.is_stopping() && body.is_ok();
     let caller = Caller::new(inbound.socket().clone(), keep_alive, head.is_http11);
@@ -126,8 +125,7 @@
         Err(Some(reply)) => caller.reply(&reply).await.map_or(Ending::CallerLeft, |()| Ending::Refused),
         Err(None) => Ending::CallerLeft,
     };
-    gate.in_flight.fetch_sub(1, Ordering::AcqRel);
-    gate.metrics.in_flight.dec();
+    gate.leave();
     let is_complete = !matches!(ending, Ending::Cut | Ending::CallerLeft);
     is_complete && caller.keep_alive()
 }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,6 +1,6 @@
 //! What every task of a gateway daemon shares.
 
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Instant;
 
@@ -48,9 +48,10 @@
     /// Bytes of callers' bodies in memory.
     pub body_bytes: AtomicU64,
     /// Requests being served.
-    pub in_flight: AtomicUsize,
+    in_flight: AtomicUsize,
     configuration: RwLock<Option<InForce>>,
     stop_began: OnceLock<Millis>,
+    closed: AtomicBool,
     stop_sender: Sender<()>,
     stop: Receiver<()>,
     start: Instant,
@@ -92,6 +93,7 @@
             in_flight: AtomicUsize::new(0),
             configuration: RwLock::new(None),
             stop_began: OnceLock::new(),
+            closed: AtomicBool::new(false),
             stop_sender,
             stop,
             start: Instant::now(),
@@ -194,7 +196,32 @@
     /// Whether a request that may take `longest` is still taken: early in a planned stop any is, for callers
     /// need a moment to learn other addresses; later only what surely ends before the process does.
     pub fn takes(&self, longest: Millis) -> bool {
-        self.stopping_for().is_none_or(|past| past <= STOP_TAKES || past + longest <= self.longest_stop())
+        !self.closed.load(Ordering::SeqCst) && self.stopping_for().is_none_or(|past| past <= STOP_TAKES || past + longest <= self.longest_stop())
+    }
+
+    /// Counts a request that is being served.
+    pub fn enter(&self) {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        self.metrics.in_flight.inc();
+    }
+
+    /// Counts that a request has ended.
+    pub fn leave(&self) {
+        self.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.metrics.in_flight.dec();
+    }
+
+    /// Requests being served.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Takes no more requests if none is being served, or in any case if `now_or_never`; true once none is taken.
+    pub fn close(&self, now_or_never: bool) -> bool {
+        self.closed.store(true, Ordering::SeqCst);
+        let is_closed = now_or_never || self.in_flight() == 0;
+        self.closed.store(is_closed, Ordering::SeqCst);
+        is_closed
     }
 
     /// Begins a planned stop.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -55,6 +55,17 @@
     pub avoided_ms: u32,
 }
 
+/// A prompt's beginning that a daemon sent to a runner.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct CacheNews {
+    /// A hash of the beginning.
+    #[prost(fixed64, tag = "1")]
+    pub chain: u64,
+    /// A hash of the runner's name.
+    #[prost(fixed64, tag = "2")]
+    pub runner: u64,
+}
+
 /// A request after which runners broke off.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct Crash {
@@ -84,6 +95,9 @@
     /// Hashes of runners that the store lately said are leaving or gone.
     #[prost(fixed64, repeated, tag = "5")]
     pub gone: Vec<u64>,
+    /// Prompt beginnings that it lately sent to runners.
+    #[prost(message, repeated, tag = "7")]
+    pub caches: Vec<CacheNews>,
     /// Some other members it knows, for daemons that lack the store.
     #[prost(message, repeated, tag = "6")]
     pub members: Vec<MemberRecord>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -76,12 +76,20 @@
     };
     fastrand::shuffle(&mut members);
     members.truncate(MEMBERS_TOLD);
+    // One lock at a time: a guard in the expression below would live until its end.
+    let (loads, caches) = {
+        let mut fleet = gate.fleet();
+        (fleet.own_loads(now), fleet.cache_news(now))
+    };
+    let crashes = gate.crashes().news(now);
+    let version = gate.configuration().map_or(0, |configuration| configuration.version.0);
     Heartbeat {
         member: Some(member),
-        version: gate.configuration().map_or(0, |configuration| configuration.version.0),
-        loads: gate.fleet().own_loads(now),
-        crashes: gate.crashes().news(now),
+        version,
+        loads,
+        crashes,
         gone: Vec::new(),
+        caches,
         members,
     }
 }
@@ -130,7 +138,11 @@
             roster.learn(known, false, now);
         }
     }
-    gate.fleet().peer_loads(&name, heartbeat.loads, now);
+    {
+        let mut fleet = gate.fleet();
+        fleet.peer_loads(&name, heartbeat.loads, now);
+        fleet.peer_caches(&heartbeat.caches, now);
+    }
     for crash in heartbeat.crashes {
         gate.crashes().note(crash, false, now);
     }
