--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -196,7 +196,8 @@
     /// Whether a request that may take `longest` is still taken: early in a planned stop any is, for callers
     /// need a moment to learn other addresses; later only what surely ends before the process does.
     pub fn takes(&self, longest: Millis) -> bool {
-        !self.closed.load(Ordering::SeqCst) && self.stopping_for().is_none_or(|past| past <= STOP_TAKES || past + longest <= self.longest_stop())
+        !self.closed.load(Ordering::SeqCst)
+            && self.stopping_for().is_none_or(|past| past <= STOP_TAKES || past + longest <= self.longest_stop())
     }
 
     /// Counts a request that is being served.
