Let one daemon place for all, with exact counts

Ruled out: faster heartbeats (dear, and still old); a dispatcher that holds places open (its death would touch streams). Change: prompts are placed by the ready daemon with the largest VM, asked by datagram; grants count until the asker's own report includes them (40 ms). Without an answer in 40 ms a daemon places by itself.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -16,7 +16,8 @@
 use crate::front::serve_caller;
 use crate::gate::Gate;
 use crate::http::{Inbound, Reply, RequestHead};
-use crate::peers::{CONFIGURATION_PATH, hear_heartbeats, send_heartbeats};
+use crate::peers::{CONFIGURATION_PATH, hear_peers, send_heartbeats};
+use crate::placer::report_loads;
 use crate::run::RunError;
 use crate::small_server::{accept, listen, serve};
 use crate::store::{LeaseId, Store};
@@ -68,7 +69,9 @@
         control.spawn(list_members(gate.clone(), store.clone())).detach();
         control.spawn(stay_registered(gate.clone(), store.clone(), lease.clone())).detach();
         control.spawn(send_heartbeats(gate.clone(), socket.clone())).detach();
-        control.spawn(hear_heartbeats(gate.clone(), socket, control.clone())).detach();
+        gate.placer.open(socket.clone());
+        control.spawn(report_loads(gate.clone(), socket.clone())).detach();
+        control.spawn(hear_peers(gate.clone(), socket, control.clone())).detach();
         control.spawn(sweep(gate.clone(), health)).detach();
         for (listener, answer) in [
             (ready, answer_ready as fn(&Gate<D>, &RequestHead) -> Reply),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,10 +3,12 @@
 mod ask;
 mod cache_map;
 mod load;
+mod peer_loads;
 mod placement;
 mod runner_state;
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use slotmap::{SlotMap, new_key_type};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
@@ -18,6 +20,7 @@
 pub use ask::Ask;
 use cache_map::{CacheMap, shared_chains};
 pub use load::Load;
+use peer_loads::PeerLoads;
 pub use placement::Placement;
 use runner_state::RunnerState;
 
@@ -36,7 +39,7 @@
 const LONGEST_AVOIDANCE: Millis = Millis(1_600);
 
 /// How long peers are told where a beginning was sent; more than one heartbeat, since datagrams get lost.
-const NEWS_TOLD: Millis = Millis(300);
+const NEWS_TOLD: Millis = Millis(800);
 
 /// Beginnings in one heartbeat at most.
 const MOST_NEWS: usize = 128;
@@ -49,7 +52,8 @@
     names: HashMap<RunnerName, RunnerKey>,
     hashes: HashMap<u64, RunnerKey>,
     services: HashMap<ModelName, Vec<RunnerKey>>,
-    peers: HashMap<String, (Millis, Vec<RunnerLoad>)>,
+    peers: HashMap<String, PeerLoads>,
+    changed: bool,
     caches: CacheMap,
     news: Vec<(Millis, CacheNews)>,
 }
@@ -69,6 +73,7 @@
             hashes: HashMap::new(),
             services: HashMap::new(),
             peers: HashMap::new(),
+            changed: false,
             caches: CacheMap::default(),
             news: Vec::new(),
         }
@@ -133,6 +138,7 @@
     pub fn begin(&mut self, key: RunnerKey, reading: u32) {
         if let Some(state) = self.runners.get_mut(key) {
             state.mine.requests += 1;
+            self.changed = true;
             state.mine.reading += reading;
         }
     }
@@ -167,6 +173,7 @@
     pub fn prompt_read(&mut self, key: RunnerKey, reading: u32) {
         if let Some(state) = self.runners.get_mut(key) {
             state.mine.reading = state.mine.reading.saturating_sub(reading);
+            self.changed = true;
         }
     }
 
@@ -174,6 +181,7 @@
     pub fn end(&mut self, key: RunnerKey) {
         if let Some(state) = self.runners.get_mut(key) {
             state.mine.requests = state.mine.requests.saturating_sub(1);
+            self.changed = true;
         }
     }
 
@@ -193,42 +201,75 @@
         let doubled = FIRST_AVOIDANCE.0 << state.failures.min(8);
         let span = Millis(doubled.min(LONGEST_AVOIDANCE.0));
         state.failures += 1;
+        self.changed = true;
         state.avoided_until = now + span;
         span
     }
 
-    /// Takes in a peer's counts.
-    pub fn peer_loads(&mut self, peer: &str, loads: Vec<RunnerLoad>, now: Millis) {
+    /// Takes in a peer's counts; grants up to question `number` are among them.
+    pub fn peer_loads(&mut self, peer: &str, number: Option<u64>, loads: Vec<RunnerLoad>, now: Millis) {
         for load in &loads {
             let state = self.hashes.get(&load.runner).and_then(|key| self.runners.get_mut(*key));
             if let Some(state) = state.filter(|_| load.avoided_ms > 0) {
                 state.avoided_until = state.avoided_until.max(now + Millis(u64::from(load.avoided_ms)));
             }
         }
-        self.peers.insert(peer.to_owned(), (now, loads));
-        self.sum_peers(now);
+        let mut peer_loads = self.peers.remove(peer).unwrap_or_default();
+        peer_loads.entries().for_each(|(runner, load)| self.subtract(runner, load));
+        peer_loads.replace(loads, number, now);
+        peer_loads.entries().for_each(|(runner, load)| self.add(runner, load));
+        self.peers.insert(peer.to_owned(), peer_loads);
+    }
+
+    /// Counts a runner granted to a peer until the peer's own counts include it.
+    pub fn granted(&mut self, peer: &str, number: u64, key: RunnerKey, reading: u32, now: Millis) {
+        let Some(state) = self.runners.get_mut(key) else {
+            return;
+        };
+        let (hash, load) = (state.hash, Load { requests: 1, reading });
+        state.others = state.others + load;
+        self.peers.entry(peer.to_owned()).or_default().grant(number, hash, load, now);
+    }
+
+    /// Forgets counts that are too old.
+    pub fn sweep(&mut self, now: Millis) {
+        let is_old = |loads: &PeerLoads| now.since(loads.heard()) > PEER_LOADS_EXPIRE;
+        let old: Vec<String> =
+            self.peers.iter().filter(|(_, loads)| is_old(loads)).map(|(peer, _)| peer.clone()).collect();
+        old.iter().for_each(|peer| self.peer_lost(peer));
     }
 
     /// Forgets a peer's counts.
-    pub fn peer_lost(&mut self, peer: &str, now: Millis) {
-        self.peers.remove(peer);
-        self.sum_peers(now);
+    pub fn peer_lost(&mut self, peer: &str) {
+        if let Some(loads) = self.peers.remove(peer) {
+            loads.entries().for_each(|(runner, load)| self.subtract(runner, load));
+        }
     }
 
-    fn sum_peers(&mut self, now: Millis) {
-        for state in self.runners.values_mut() {
-            state.others = Load::default();
+    fn add(&mut self, runner: u64, load: Load) {
+        if let Some(state) = self.hashes.get(&runner).and_then(|key| self.runners.get_mut(*key)) {
+            state.others = state.others + load;
         }
-        self.peers.retain(|_, (heard, _)| now.since(*heard) <= PEER_LOADS_EXPIRE);
-        for load in self.peers.values().flat_map(|(_, loads)| loads) {
-            let Some(state) = self.hashes.get(&load.runner).and_then(|key| self.runners.get_mut(*key)) else {
-                continue;
-            };
-            state.others.requests += load.requests;
-            state.others.reading += load.reading;
+    }
+
+    fn subtract(&mut self, runner: u64, load: Load) {
+        if let Some(state) = self.hashes.get(&runner).and_then(|key| self.runners.get_mut(*key)) {
+            state.others = state.others.without(load);
         }
     }
 
+    /// Whether this daemon's counts changed since the last call.
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// The runner with this name and its record.
+    pub fn find(&self, name: &RunnerName) -> Option<(RunnerKey, Arc<RunnerRecord>, Load)> {
+        let key = *self.names.get(name)?;
+        let state = self.runners.get(key)?;
+        Some((key, state.record.clone(), state.load()))
+    }
+
     /// This daemon's counts, for its heartbeat.
     pub fn own_loads(&self, now: Millis) -> Vec<RunnerLoad> {
         self.runners
--- a/crates/gateway/src/fleet/load.rs
+++ b/crates/gateway/src/fleet/load.rs
@@ -16,3 +16,13 @@
         Load { requests: self.requests + other.requests, reading: self.reading + other.reading }
     }
 }
+
+impl Load {
+    /// This load less another, or nothing.
+    pub fn without(self, other: Load) -> Load {
+        Load {
+            requests: self.requests.saturating_sub(other.requests),
+            reading: self.reading.saturating_sub(other.reading),
+        }
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,6 +15,7 @@
 use crate::gate::Gate;
 use crate::http::{Reply, ResponseHead};
 use crate::job::Job;
+use crate::placer::place;
 use crate::{Event, record};
 use attempt::Attempt;
 
@@ -93,7 +94,7 @@
         }
         self.gate.retries().first(&self.job.service, self.gate.now());
         loop {
-            let placement = self.gate.fleet().choose(&self.job.ask(), self.gate.now());
+            let placement = place(self.gate, &self.job.ask()).await;
             let Some(placement) = placement else {
                 return self.give_up("no runner takes it").await;
             };
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -13,6 +13,7 @@
 use crate::fleet::Fleet;
 use crate::heartbeat::{MemberRecord, Phase};
 use crate::metrics::Metrics;
+use crate::placer::Placer;
 use crate::retry_ledger::RetryLedger;
 use crate::roster::Roster;
 use crate::{Configuration, Event, Settings, record};
@@ -43,6 +44,8 @@
     retries: Mutex<RetryLedger>,
     /// Requests that crash runners.
     crashes: Mutex<CrashLedger>,
+    /// Questions to the placing daemon.
+    pub placer: Placer,
     /// Counters.
     pub metrics: Metrics,
     /// Bytes of callers' bodies in memory.
@@ -79,6 +82,7 @@
             front_port: settings.front.port().into(),
             peer_port: settings.peer.port().into(),
             phase: Phase::Starting.into(),
+            cpu_milli: (settings.cpu_share * 1_000.0) as u32,
         };
         let (stop_sender, stop) = async_channel::bounded(1);
         Gate {
@@ -88,6 +92,7 @@
             roster: Mutex::new(Roster::new(me)),
             retries: Mutex::new(RetryLedger::new(settings.bounds.clone())),
             crashes: Mutex::default(),
+            placer: Placer::default(),
             metrics: Metrics::default(),
             body_bytes: AtomicU64::new(0),
             in_flight: AtomicUsize::new(0),
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -36,6 +36,9 @@
     /// Its state.
     #[prost(enumeration = "Phase", tag = "7")]
     pub phase: i32,
+    /// Its VM's processor share, in thousandths of a core.
+    #[prost(uint32, tag = "8")]
+    pub cpu_milli: u32,
 }
 
 /// One daemon's use of a runner.
@@ -102,3 +105,100 @@
     #[prost(message, repeated, tag = "6")]
     pub members: Vec<MemberRecord>,
 }
+
+/// Asks the placing daemon for a runner.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PlaceAsk {
+    /// Who asks.
+    #[prost(string, tag = "1")]
+    pub daemon: String,
+    /// The question's number; rises with each.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The service.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// The prompt's model.
+    #[prost(string, tag = "4")]
+    pub model: String,
+    /// Ids of the prompt's parts in order.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub parts: Vec<u64>,
+    /// Their tokens.
+    #[prost(uint32, repeated, tag = "6")]
+    pub tokens: Vec<u32>,
+    /// Tokens to read.
+    #[prost(uint32, tag = "7")]
+    pub input_tokens: u32,
+    /// The most tokens to generate.
+    #[prost(uint32, tag = "8")]
+    pub output_tokens: u32,
+    /// The longest pause between events that is on time, in milliseconds; 0 if none is stated.
+    #[prost(uint64, tag = "9")]
+    pub pause_ms: u64,
+    /// Runners that the request was sent to before.
+    #[prost(string, repeated, tag = "10")]
+    pub tried: Vec<String>,
+}
+
+/// The placing daemon's answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PlaceGrant {
+    /// The question's number.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The runner's name; empty if none takes the request.
+    #[prost(string, tag = "2")]
+    pub runner: String,
+    /// The address of a runner that has the prompt's beginning; empty if none is needed.
+    #[prost(string, tag = "3")]
+    pub source: String,
+    /// Prompt tokens that the runner will have to read.
+    #[prost(uint32, tag = "4")]
+    pub reading: u32,
+}
+
+/// A daemon's use of runners, for the placing daemon.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LoadReport {
+    /// The sender.
+    #[prost(string, tag = "1")]
+    pub daemon: String,
+    /// The newest question whose grant the counts include.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Its use of runners.
+    #[prost(message, repeated, tag = "3")]
+    pub loads: Vec<RunnerLoad>,
+}
+
+/// What one datagram between daemons carries.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Content {
+    /// A heartbeat.
+    #[prost(message, tag = "1")]
+    Heartbeat(Heartbeat),
+    /// A question for a runner.
+    #[prost(message, tag = "2")]
+    Ask(PlaceAsk),
+    /// Its answer.
+    #[prost(message, tag = "3")]
+    Grant(PlaceGrant),
+    /// Counts for the placing daemon.
+    #[prost(message, tag = "4")]
+    Report(LoadReport),
+}
+
+/// A datagram between daemons.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Datagram {
+    /// What it carries.
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4")]
+    pub content: Option<Content>,
+}
+
+impl From<Content> for Datagram {
+    fn from(content: Content) -> Datagram {
+        Datagram { content: Some(content) }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod log_setup;
 mod metrics;
 mod peers;
+mod placer;
 mod prompt;
 mod retry_ledger;
 mod roster;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,8 +10,9 @@
 
 use crate::dialect::Dialect;
 use crate::gate::Gate;
-use crate::heartbeat::{Heartbeat, MemberRecord};
+use crate::heartbeat::{Content, Datagram, Heartbeat, MemberRecord};
 use crate::http_client::HttpClient;
+use crate::placer::answer;
 use crate::{ConfigVersion, Event, record};
 
 /// The shortest time between heartbeats to all peers.
@@ -41,7 +42,7 @@
     loop {
         let now = gate.now();
         let targets = targets(&gate);
-        let heartbeat = compose(&gate, now).encode_to_vec();
+        let heartbeat = Datagram::from(Content::Heartbeat(compose(&gate, now))).encode_to_vec();
         for target in &targets {
             if let Err(error) = socket.send_to(&heartbeat, *target).await {
                 log::debug!("a heartbeat to {target} was not sent: {error}");
@@ -50,8 +51,9 @@
         let silent = gate.roster().sweep(now, last);
         for name in silent {
             record!(Event::PeerLost, peer = name);
-            gate.fleet().peer_lost(&name, now);
+            gate.fleet().peer_lost(&name);
         }
+        gate.fleet().sweep(now);
         gate.metrics.peers.set(i64::try_from(gate.roster().live_count(now)).unwrap_or(i64::MAX));
         last = now;
         let pause = HEARTBEAT_TIME.0.max(TIME_FOR_PEER.0 * targets.len() as u64);
@@ -86,8 +88,8 @@
     Heartbeat { member: Some(member), version, loads, crashes, gone: Vec::new(), caches, members }
 }
 
-/// Takes in heartbeats for good.
-pub async fn hear_heartbeats<D: Dialect>(
+/// Takes in datagrams of other daemons for good.
+pub async fn hear_peers<D: Dialect>(
     gate: Arc<Gate<D>>,
     socket: Arc<Async<UdpSocket>>,
     executor: Arc<smol::Executor<'static>>,
@@ -95,17 +97,24 @@
     let mut buffer = vec![0; MAX_DATAGRAM];
     let fetching = Arc::new(Mutex::new(HashSet::new()));
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 log::debug!("a heartbeat could not be received: {error}");
                 Timer::after(HEARTBEAT_TIME.into()).await;
                 continue;
             }
         };
-        match Heartbeat::decode(&buffer[..length]) {
-            Ok(heartbeat) => take_in(&gate, heartbeat, &executor, &fetching),
-            Err(error) => log::debug!("a heartbeat cannot be read: {error}"),
+        match Datagram::decode(&buffer[..length]).map(|datagram| datagram.content) {
+            Ok(Some(Content::Heartbeat(heartbeat))) => take_in(&gate, heartbeat, &executor, &fetching),
+            Ok(Some(Content::Ask(ask))) => answer(&gate, &socket, ask, from).await,
+            Ok(Some(Content::Grant(grant))) => gate.placer.answered(grant),
+            Ok(Some(Content::Report(report))) => {
+                let now = gate.now();
+                gate.fleet().peer_loads(&report.daemon, Some(report.number), report.loads, now);
+            }
+            Ok(None) => log::debug!("a datagram of an unknown kind was ignored"),
+            Err(error) => log::debug!("a datagram cannot be read: {error}"),
         }
     }
 }
@@ -132,7 +141,7 @@
     }
     {
         let mut fleet = gate.fleet();
-        fleet.peer_loads(&name, heartbeat.loads, now);
+        fleet.peer_loads(&name, None, heartbeat.loads, now);
         fleet.peer_caches(&heartbeat.caches, now);
     }
     for crash in heartbeat.crashes {
