Prefer a placing daemon that has run for a while

Change: a daemon says in its heartbeat whether it has run for 10 s; placing goes to such a one first.

--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -83,6 +83,7 @@
             peer_port: settings.peer.port().into(),
             phase: Phase::Starting.into(),
             cpu_milli: (settings.cpu_share * 1_000.0) as u32,
+            is_settled: false,
         };
         let (stop_sender, stop) = async_channel::bounded(1);
         Gate {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -39,6 +39,9 @@
     /// Its VM's processor share, in thousandths of a core.
     #[prost(uint32, tag = "8")]
     pub cpu_milli: u32,
+    /// Whether it has run long enough to know what runners have in their caches.
+    #[prost(bool, tag = "9")]
+    pub is_settled: bool,
 }
 
 /// One daemon's use of a runner.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -21,6 +21,10 @@
 /// The time that each known peer adds between heartbeats, so that a daemon sends a bounded number a second.
 const TIME_FOR_PEER: Millis = Millis(10);
 
+/// After so long a daemon has heard where the beginnings of prompts in use were sent; they come back about every
+/// seven seconds.
+const SETTLED: Millis = Millis(10_000);
+
 /// Members named in one heartbeat, for daemons that lack the store.
 const MEMBERS_TOLD: usize = 4;
 
@@ -73,7 +77,8 @@
 
 fn compose<D: Dialect>(gate: &Gate<D>, now: Millis) -> Heartbeat {
     let (member, mut members) = {
-        let roster = gate.roster();
+        let mut roster = gate.roster();
+        roster.me.is_settled = now > SETTLED;
         (roster.me.clone(), roster.peers().map(|peer| peer.record.clone()).collect::<Vec<MemberRecord>>())
     };
     fastrand::shuffle(&mut members);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -118,12 +118,12 @@
         self.peers.values().filter(|peer| peer.is_live(now)).count()
     }
 
-    /// The daemon that places for all: of those that are ready the one with the largest VM. Daemons that see
+    /// The daemon that places for all: of those that are ready one that is settled, on the largest VM. Daemons that see
     /// different ones live choose differently for a moment, which makes placing less exact and breaks nothing.
     pub fn placing_daemon(&self, now: Millis) -> &MemberRecord {
         let live = self.peers.values().filter(|peer| peer.is_live(now)).map(|peer| &peer.record);
         let ready = live.chain((self.me.phase() == Phase::Ready).then_some(&self.me));
-        ready.max_by_key(|member| (member.cpu_milli, &member.name)).unwrap_or(&self.me)
+        ready.max_by_key(|member| (member.is_settled, member.cpu_milli, &member.name)).unwrap_or(&self.me)
     }
 
     /// The addresses for a caller in `zone`: daemons of its own zone if any is ready, else all that are. A daemon
