List anew after a failed watch

Ruled out: a lost answer (the trace shows the watch sent and unanswered until the next change); the peers' heartbeats (the daemon was cut off from them). Change: after a failed watch the keys are listed; the first watch after a list waits 1.5 s only.

--- a/crates/gateway/src/discovery/follow.rs
+++ b/crates/gateway/src/discovery/follow.rs
@@ -13,6 +13,10 @@
 /// How long one watch waits for changes.
 const WATCH_TIME: Millis = Millis(25_000);
 
+/// How long the first watch after a list waits: whatever a store that just recovered did not tell it is asked
+/// for again soon.
+const FIRST_WATCH_TIME: Millis = Millis(1_500);
+
 /// The pause after a change, so that one call brings the changes that come close together; far below the two
 /// seconds in which a change must be in force.
 const GATHER_TIME: Millis = Millis(200);
@@ -41,11 +45,12 @@
     follower: &mut F,
 ) {
     let mut after: Option<Revision> = None;
+    let mut wait = FIRST_WATCH_TIME;
     let mut pause = FIRST_PAUSE;
     loop {
         let result = match after {
             None => store.list(prefix).await,
-            Some(revision) => store.watch(prefix, revision, WATCH_TIME).await,
+            Some(revision) => store.watch(prefix, revision, wait).await,
         };
         count(gate, if after.is_none() { "list" } else { "watch" }, &result);
         match result {
@@ -53,7 +58,9 @@
                 health.answered(gate.now());
                 if after.is_none() {
                     follower.listed(changes.changes);
+                    wait = FIRST_WATCH_TIME;
                 } else {
+                    wait = WATCH_TIME;
                     changes.changes.into_iter().for_each(|change| follower.changed(change));
                 }
                 let is_change = after.replace(changes.revision).is_some();
@@ -67,6 +74,8 @@
                 after = None;
             }
             Err(error) => {
+                // A store in trouble may leave a watch waiting that it should have answered: list anew.
+                after = None;
                 health.failed(prefix, error, gate.now());
                 Timer::after(Millis(pause.0 / 2 + fastrand::u64(0..=pause.0)).into()).await;
                 pause = Millis((pause.0 * 2).min(LONGEST_PAUSE.0));
