Keep long prompts off interactive runners for longer

Ruled out: the quick questions' own load (5 at once per runner of 64). Change: the wrong side costs 2 s of waiting instead of 0.4.

--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -31,7 +31,7 @@
 const INTERACTIVE_SHARE: usize = 5;
 
 /// What a request costs on the wrong side of the division into interactive and other runners, in milliseconds.
-const SIDE_MS: f64 = 400.0;
+const SIDE_MS: f64 = 2_000.0;
 
 /// What a plain service's runner in another availability zone costs, in requests.
 const ZONE_REQUESTS: f64 = 0.5;
