--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -92,6 +92,9 @@
                 self.health.present(&runner.name);
                 let line = (runner.name.clone(), runner.service.clone(), runner.address, runner.is_ready);
                 if self.gate.fleet().seen(runner) {
+                    if !line.3 {
+                        self.gate.fleet().note_left(&line.0, self.gate.now());
+                    }
                     record!(Event::RunnerSeen, runner = line.0, service = line.1, address = line.2, ready = line.3);
                 }
             }
@@ -128,6 +131,7 @@
 /// Forgets runners whose entries are missing and will not return.
 pub fn drop_missing<D: Dialect>(gate: &Gate<D>, health: &StoreHealth) {
     for name in health.take_missing(gate.now()) {
+        gate.fleet().note_left(&name, gate.now());
         if let Some(key) = gate.fleet().gone(&name) {
             gate.pool().forget(key);
             record!(Event::RunnerLeft, runner = name, source = "store");
--- a/crates/gateway/src/events_stream.rs
+++ b/crates/gateway/src/events_stream.rs
@@ -46,7 +46,7 @@
     }
 
     fn note(&mut self, end: usize) {
-        for line in self.pending[..end].split(|byte| *byte == b'\n') {
+        for line in self.pending[..end - 1].split(|byte| *byte == b'\n') {
             if line.is_empty() || line == b"\r" {
                 self.events += 1;
             }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -41,6 +41,9 @@
 /// How long peers are told where a beginning was sent; more than one heartbeat, since datagrams get lost.
 const NEWS_TOLD: Millis = Millis(800);
 
+/// How long peers are told that a runner left; several heartbeats, since datagrams get lost.
+const LEFT_TOLD: Millis = Millis(2_000);
+
 /// Beginnings in one heartbeat at most.
 const MOST_NEWS: usize = 128;
 
@@ -56,11 +59,12 @@
     changed: bool,
     caches: CacheMap,
     news: Vec<(Millis, CacheNews)>,
+    left: Vec<(Millis, u64)>,
 }
 
-/// The hash by which daemons name a runner to each other.
-pub fn runner_hash(name: &RunnerName) -> u64 {
-    rapidhash::v3::rapidhash_v3(name.as_str().as_bytes())
+/// The hash by which daemons name one start of a runner to each other.
+pub fn runner_hash(name: &RunnerName, started_at: i64) -> u64 {
+    rapidhash::v3::rapidhash_v3(name.as_str().as_bytes()) ^ started_at.cast_unsigned()
 }
 
 impl Fleet {
@@ -76,6 +80,7 @@
             changed: false,
             caches: CacheMap::default(),
             news: Vec::new(),
+            left: Vec::new(),
         }
     }
 
@@ -92,7 +97,7 @@
             }
             self.gone(&record.name);
         }
-        let hash = runner_hash(&record.name);
+        let hash = runner_hash(&record.name, record.started_at);
         let (name, service) = (record.name.clone(), record.service.clone());
         let key = self.runners.insert(RunnerState::new(record, hash));
         self.names.insert(name, key);
@@ -113,6 +118,19 @@
         Some(key)
     }
 
+    /// Remembers to tell peers that a runner is leaving or gone.
+    pub fn note_left(&mut self, name: &RunnerName, now: Millis) {
+        if let Some(state) = self.names.get(name).and_then(|key| self.runners.get(*key)) {
+            self.left.push((now, state.hash));
+        }
+    }
+
+    /// Hashes of runners that lately left, for heartbeats.
+    pub fn left_news(&mut self, now: Millis) -> Vec<u64> {
+        self.left.retain(|(at, _)| now.since(*at) < LEFT_TOLD);
+        self.left.iter().map(|(_, hash)| *hash).collect()
+    }
+
     /// Stops sending new requests to the runner with this hash, as a peer read in the store.
     pub fn leaving(&mut self, hash: u64) -> Option<RunnerName> {
         let state = self.runners.get_mut(*self.hashes.get(&hash)?)?;
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -242,8 +242,7 @@
 
     fn no_answer(&self, failure: HeadFailure, placement: &Placement, content: u64) -> Attempt {
         if matches!(failure, HeadFailure::Broke) && !self.job.body.is_empty() {
-            let started = placement.record.started_at.cast_unsigned();
-            let runner = runner_hash(&placement.record.name) ^ started;
+            let runner = runner_hash(&placement.record.name, placement.record.started_at);
             self.gate.crashes().note(Crash { content, runner }, true, self.gate.now());
         }
         Attempt::Failed(None)
--- a/crates/gateway/src/http/inbound.rs
+++ b/crates/gateway/src/http/inbound.rs
@@ -8,13 +8,19 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future::or;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 
 const READ_BYTES: usize = 16 * 1024;
 
 /// Unacknowledged data older than this ends a connection; a silent path shows only so.
 const SILENT_PATH: Duration = Duration::from_millis(4_000);
 
+/// The time between probes of an idle connection, the shortest there is.
+const PROBE_TIME: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which an idle connection ends.
+const PROBES: u32 = 3;
+
 /// A non-blocking TCP connection, shared between a reader and a writer.
 pub type Socket = Arc<Async<TcpStream>>;
 
@@ -24,6 +30,10 @@
     if let Err(error) = socket.set_tcp_nodelay(true) {
         log::debug!("no-delay could not be set: {error}");
     }
+    let probes = TcpKeepalive::new().with_time(PROBE_TIME).with_interval(PROBE_TIME).with_retries(PROBES);
+    if let Err(error) = socket.set_tcp_keepalive(&probes) {
+        log::debug!("keep-alive probes could not be set: {error}");
+    }
     if let Err(error) = socket.set_tcp_user_timeout(Some(SILENT_PATH)) {
         log::debug!("the user timeout could not be set: {error}");
     }
--- a/crates/gateway/src/log_setup.rs
+++ b/crates/gateway/src/log_setup.rs
@@ -5,6 +5,7 @@
 use flexi_logger::{FlexiLoggerError, Logger, LoggerHandle};
 
 use line_writer::LineWriter;
+pub use line_writer::lines_dropped;
 
 /// Starts logging at the level that `RUST_LOG` names, or `level`.
 ///
--- a/crates/gateway/src/log_setup/line_writer.rs
+++ b/crates/gateway/src/log_setup/line_writer.rs
@@ -20,6 +20,13 @@
 /// How long a flush waits for the reader.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 
+static TOTAL_DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Lines dropped since the start.
+pub fn lines_dropped() -> u64 {
+    TOTAL_DROPPED.load(Ordering::Relaxed)
+}
+
 #[derive(Debug)]
 struct Second {
     began: Instant,
@@ -66,6 +73,7 @@
         line.push(b'\n');
         if self.lines.try_send(line).is_err() {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+            TOTAL_DROPPED.fetch_add(1, Ordering::Relaxed);
         }
     }
 }
@@ -84,6 +92,7 @@
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         if !self.has_room() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
+            TOTAL_DROPPED.fetch_add(1, Ordering::Relaxed);
             return Ok(());
         }
         let mut line = Vec::with_capacity(256);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::log_setup::lines_dropped;
+
 /// Labels of a request's end.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct EndLabels {
@@ -55,7 +57,7 @@
     /// New connections to runners.
     pub connects: Counter,
     /// Log lines dropped.
-    pub lines_dropped: Counter,
+    pub lines_dropped: Gauge,
 }
 
 fn buckets() -> Histogram {
@@ -78,7 +80,7 @@
             runners: Gauge::default(),
             peers: Gauge::default(),
             connects: Counter::default(),
-            lines_dropped: Counter::default(),
+            lines_dropped: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -105,6 +107,7 @@
 
     /// All metrics in the text format.
     pub fn text(&self) -> String {
+        self.lines_dropped.set(i64::try_from(lines_dropped()).unwrap_or(i64::MAX));
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
             Ok(()) => text,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -84,9 +84,9 @@
     fastrand::shuffle(&mut members);
     members.truncate(MEMBERS_TOLD);
     // One lock at a time: a guard in the expression below would live until its end.
-    let (loads, caches) = {
+    let (loads, caches, gone) = {
         let mut fleet = gate.fleet();
-        (fleet.own_loads(now), fleet.cache_news(now))
+        (fleet.own_loads(now), fleet.cache_news(now), fleet.left_news(now))
     };
     let crashes = gate.crashes().news(now);
     let version = gate.configuration().map_or(0, |configuration| configuration.version.0);
@@ -148,6 +148,9 @@
         let mut fleet = gate.fleet();
         fleet.peer_loads(&name, None, heartbeat.loads, now);
         fleet.peer_caches(&heartbeat.caches, now);
+        for runner in heartbeat.gone.iter().filter_map(|hash| fleet.leaving(*hash)) {
+            record!(Event::RunnerLeft, runner = runner, source = name);
+        }
     }
     for crash in heartbeat.crashes {
         gate.crashes().note(crash, false, now);
--- /dev/null
+++ b/crates/gateway/tests/fleet.rs
@@ -0,0 +1,198 @@
+//! Where requests go: the load each rule answers is played, and what the runners carry is checked.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+
+use teaselcroft_gateway::fleet::{Ask, Fleet, Placement, runner_hash};
+use teaselcroft_gateway::heartbeat::RunnerLoad;
+use teaselcroft_gateway::{Prompt, PromptPart, RunnerRecord};
+use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
+
+const PAUSE_INTERACTIVE: Option<Millis> = Some(Millis(250));
+const PAUSE_PATIENT: Option<Millis> = Some(Millis(1_000));
+
+fn zone(name: &str) -> ZoneName {
+    name.parse().unwrap()
+}
+
+fn service() -> ModelName {
+    "engines".parse().unwrap()
+}
+
+fn runner(number: usize, zone_name: &str, slots: u32) -> RunnerRecord {
+    RunnerRecord {
+        name: format!("i-{number}").parse().unwrap(),
+        started_at: 1,
+        service: service(),
+        address: SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 8_000)),
+        zone: zone(zone_name),
+        slots,
+        is_ready: true,
+    }
+}
+
+fn fleet(runners: usize) -> Fleet {
+    let mut fleet = Fleet::new(zone("fayon"));
+    (0..runners).for_each(|number| assert!(fleet.seen(runner(number, "fayon", 64))));
+    fleet
+}
+
+/// A prompt with a part that others share and one of its own.
+fn prompt(shared_id: u64, shared_tokens: u32, own_tokens: u32) -> Prompt {
+    let parts = vec![
+        PromptPart { id: shared_id, tokens: shared_tokens },
+        PromptPart { id: shared_id ^ 0xffff_0000, tokens: own_tokens },
+    ];
+    Prompt { model: "m".into(), input_tokens: shared_tokens + own_tokens, output_tokens: 100, parts }
+}
+
+fn choose(fleet: &Fleet, prompt: &Prompt, pause: Option<Millis>, now: Millis) -> Option<Placement> {
+    let service = service();
+    fleet.choose(&Ask { service: &service, prompt: Some(prompt), longest_pause: pause, tried: &[] }, now)
+}
+
+/// Places a request and counts it at its runner.
+fn send(fleet: &mut Fleet, prompt: &Prompt, pause: Option<Millis>, now: Millis) -> Placement {
+    let placement = choose(fleet, prompt, pause, now).unwrap();
+    fleet.begin(placement.key, placement.reading);
+    fleet.cached(placement.key, prompt, now);
+    placement
+}
+
+#[test]
+fn requests_with_a_common_beginning_meet_at_one_runner() {
+    let mut fleet = fleet(18);
+    let first = send(&mut fleet, &prompt(7, 13_300, 3_000), PAUSE_PATIENT, Millis(0));
+
+    let second = send(&mut fleet, &prompt(7, 13_300, 2_000), PAUSE_PATIENT, Millis(100));
+
+    assert_eq!((first.record.name.clone(), first.reading), (second.record.name.clone(), 16_300));
+    assert_eq!((second.reading, second.fetch_from), (2_000, None));
+}
+
+#[test]
+fn a_busy_home_is_relieved_by_fetching_from_it() {
+    let mut fleet = fleet(18);
+    let home = send(&mut fleet, &prompt(7, 13_300, 3_000), PAUSE_PATIENT, Millis(0));
+    fleet.prompt_read(home.key, home.reading);
+    fleet.begin(home.key, 200_000);
+
+    let other = choose(&fleet, &prompt(7, 13_300, 2_000), PAUSE_PATIENT, Millis(100)).unwrap();
+
+    assert_ne!(other.record.name, home.record.name);
+    assert_eq!((other.fetch_from, other.reading), (Some(home.record.address), 2_000));
+}
+
+#[test]
+fn a_cold_burst_of_long_prompts_spreads_evenly_and_spares_interactive_runners() {
+    let mut fleet = fleet(18);
+    let interactive = send(&mut fleet, &prompt(1_000, 350, 1_110), PAUSE_INTERACTIVE, Millis(0));
+
+    let mut reading = std::collections::HashMap::new();
+    for number in 0..70 {
+        let placement = send(&mut fleet, &prompt(number, 13_300, 3_720), PAUSE_PATIENT, Millis(number));
+        *reading.entry(placement.record.name.clone()).or_insert(0) += placement.reading;
+        assert_ne!(placement.record.name, interactive.record.name);
+    }
+
+    let (most, least) = (reading.values().max().unwrap(), reading.values().min().unwrap());
+    assert_eq!(reading.len(), 14, "a fifth of the runners is kept for interactive requests");
+    assert!(most - least <= 2 * 17_020, "{least} to {most} tokens");
+}
+
+#[test]
+fn interactive_requests_stay_together_while_their_runners_bear_them() {
+    let mut fleet = fleet(18);
+    for number in 0..100 {
+        send(&mut fleet, &prompt(number, 13_300, 3_720), PAUSE_PATIENT, Millis(number));
+    }
+
+    let mut used: Vec<RunnerName> = (0..80)
+        .map(|number| {
+            send(&mut fleet, &prompt(5_000 + number, 350, 1_110), PAUSE_INTERACTIVE, Millis(200)).record.name.clone()
+        })
+        .collect();
+    used.sort_unstable();
+    used.dedup();
+
+    assert_eq!(used.len(), 4);
+}
+
+#[test]
+fn a_runner_that_refuses_connections_is_avoided_until_it_may_be_back() {
+    let mut fleet = fleet(2);
+    let now = Millis(5_000);
+    let first = choose(&fleet, &prompt(7, 100, 100), PAUSE_PATIENT, now).unwrap();
+
+    let span = fleet.avoid(first.key, now);
+
+    let other = choose(&fleet, &prompt(7, 100, 100), PAUSE_PATIENT, now).unwrap();
+    let again = choose(&fleet, &prompt(7, 100, 100), PAUSE_PATIENT, now + span + Millis(1)).unwrap();
+    assert_ne!(other.record.name, first.record.name);
+    assert_eq!(again.record.name, first.record.name);
+}
+
+#[test]
+fn a_grant_counts_until_the_asker_reports_it() {
+    let mut fleet = fleet(1);
+    let now = Millis(1_000);
+    let placement = choose(&fleet, &prompt(7, 0, 500), PAUSE_PATIENT, now).unwrap();
+    let load = |fleet: &Fleet| choose(fleet, &prompt(8, 0, 0), PAUSE_PATIENT, now).unwrap().load.requests;
+    let reported =
+        RunnerLoad { runner: runner_hash(&placement.record.name, 1), requests: 1, reading: 500, avoided_ms: 0 };
+
+    fleet.granted("entry-2", 41, placement.key, 500, now);
+    assert_eq!(load(&fleet), 1);
+    fleet.peer_loads("entry-2", Some(40), Vec::new(), now);
+    assert_eq!(load(&fleet), 1, "the report is older than the grant");
+    fleet.peer_loads("entry-2", Some(41), vec![reported], now);
+    assert_eq!(load(&fleet), 1, "counted once");
+    fleet.peer_lost("entry-2");
+    assert_eq!(load(&fleet), 0);
+}
+
+#[test]
+fn word_of_a_runner_that_left_reaches_peers_and_spares_its_next_start() {
+    let (mut one, mut two) = (fleet(1), fleet(1));
+    let name: RunnerName = "i-0".parse().unwrap();
+
+    one.note_left(&name, Millis(0));
+    let news = one.left_news(Millis(100));
+    news.iter().for_each(|hash| assert!(two.leaving(*hash).is_some()));
+
+    assert!(choose(&two, &prompt(7, 100, 100), PAUSE_PATIENT, Millis(100)).is_none());
+    assert!(two.seen(RunnerRecord { started_at: 2, ..runner(0, "fayon", 64) }));
+    news.iter().for_each(|hash| assert!(two.leaving(*hash).is_none()));
+    assert!(choose(&two, &prompt(7, 100, 100), PAUSE_PATIENT, Millis(100)).is_some());
+    assert!(one.left_news(Millis(9_000)).is_empty());
+}
+
+#[test]
+fn a_runner_that_started_again_has_an_empty_cache() {
+    let mut fleet = fleet(3);
+    let home = send(&mut fleet, &prompt(7, 13_300, 100), PAUSE_PATIENT, Millis(0));
+    fleet.end(home.key);
+
+    assert!(fleet.seen(RunnerRecord { started_at: 2, ..(*home.record).clone() }));
+
+    let next = choose(&fleet, &prompt(7, 13_300, 100), PAUSE_PATIENT, Millis(50)).unwrap();
+    assert_eq!((next.reading, next.fetch_from), (13_400, None));
+}
+
+#[test]
+fn plain_requests_go_to_the_least_occupied_runner_and_rather_stay_in_their_zone() {
+    let mut fleet = Fleet::new(zone("fayon"));
+    [(0, "caspe"), (1, "fayon"), (2, "caspe")].into_iter().for_each(|(number, zone_name)| {
+        fleet.seen(runner(number, zone_name, 6));
+    });
+    let service = service();
+    let plain = Ask { service: &service, prompt: None, longest_pause: None, tried: &[] };
+
+    let first = fleet.choose(&plain, Millis(0)).unwrap();
+    fleet.begin(first.key, 0);
+    let second = fleet.choose(&plain, Millis(0)).unwrap();
+
+    assert_eq!(first.record.name.as_str(), "i-1");
+    assert_ne!(second.record.name.as_str(), "i-1");
+}
