Send the word of runners that left, tested between two processes

Cause: the heartbeat's list of runners that left was computed and not sent; only the unused variable showed it. Change: it is sent. Test: word_of_a_runner_that_left_reaches_a_daemon_whose_store_is_behind, with a second store that hears of no change; failed before (20 s), passes.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -90,7 +90,7 @@
     };
     let crashes = gate.crashes().news(now);
     let version = gate.configuration().map_or(0, |configuration| configuration.version.0);
-    Heartbeat { member: Some(member), version, loads, crashes, gone: Vec::new(), caches, members }
+    Heartbeat { member: Some(member), version, loads, crashes, gone, caches, members }
 }
 
 /// Takes in datagrams of other daemons for good.
