Send loads and caches to the placing daemons only; leave places for urgent requests

(2) Lesser requests fill all slots of runners in a burst. Ruled out: unanswered questions (none in 8,672). Change: (1) the placing daemon and the next get full heartbeats, others slim ones; silence is four heartbeats, at least 1 s. (2) a priority step leaves a quarter of the slots free, half at most; refused at once.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -25,6 +25,8 @@
     PeerHeard = 620;
     /// A peer was not heard for too long.
     PeerLost = 621;
+    /// The placing daemon left questions unanswered; this one places by itself for a while.
+    PlacingAlone = 622;
     /// A configuration came into force.
     ConfigApplied = 630;
     /// A runner registered, changed or registered again.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The runners that are known, what they carry, and which one a request goes to.
 
+mod admission;
 mod ask;
 mod cache_map;
 mod load;
@@ -21,7 +22,7 @@
 use cache_map::{CacheMap, shared_chains};
 pub use load::Load;
 use peer_loads::PeerLoads;
-pub use placement::Placement;
+pub use placement::{Choice, Placement};
 use runner_state::RunnerState;
 
 new_key_type! {
--- a/crates/gateway/src/fleet/ask.rs
+++ b/crates/gateway/src/fleet/ask.rs
@@ -2,7 +2,7 @@
 
 use teaselcroft_parts::{Millis, ModelName, RunnerName};
 
-use crate::Prompt;
+use crate::{Priority, Prompt};
 
 /// What a request needs of a runner.
 #[derive(Debug, Clone, Copy)]
@@ -13,6 +13,8 @@
     pub prompt: Option<&'a Prompt>,
     /// The longest pause between events that is on time.
     pub longest_pause: Option<Millis>,
+    /// How urgent it is.
+    pub priority: Priority,
     /// Runners that it was already sent to.
     pub tried: &'a [RunnerName],
 }
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use teaselcroft_parts::Millis;
+use teaselcroft_parts::{Millis, ModelName};
 
+use super::admission::admits;
 use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
 use super::{Ask, Fleet, Load, RunnerKey};
-use crate::RunnerRecord;
+use crate::{Prompt, RunnerRecord};
 
 /// Prompt tokens that an engine reads in a millisecond, for estimates before anything was observed.
 const READ_TOKENS_PER_MS: f64 = 50.0;
@@ -36,6 +37,17 @@
 /// What a plain service's runner in another availability zone costs, in requests.
 const ZONE_REQUESTS: f64 = 0.5;
 
+/// What comes of asking for a runner.
+#[derive(Debug, Clone)]
+pub enum Choice {
+    /// A runner takes the request.
+    Placed(Placement),
+    /// All runners are full for a request of its priority.
+    Full,
+    /// There is no runner that it could go to.
+    Nobody,
+}
+
 /// Where a request goes.
 #[derive(Debug, Clone)]
 pub struct Placement {
@@ -52,9 +64,9 @@
 }
 
 impl Fleet {
-    /// The runner for a request, or `None` if none takes it.
-    pub fn choose(&self, ask: &Ask<'_>, now: Millis) -> Option<Placement> {
-        let keys = self.services.get(ask.service)?;
+    /// The runner for a request.
+    pub fn choose(&self, ask: &Ask<'_>, now: Millis) -> Choice {
+        let keys = self.services.get(ask.service).map_or(&[][..], Vec::as_slice);
         let usable = |avoided: bool| {
             keys.iter()
                 .map(|key| (*key, &self.runners[*key]))
@@ -64,10 +76,14 @@
         };
         let sound = usable(false);
         let candidates = if sound.is_empty() { usable(true) } else { sound };
-        match ask.prompt {
-            Some(_) => self.choose_engine(ask, candidates, now),
-            None => self.choose_plain(candidates),
+        if candidates.is_empty() {
+            return Choice::Nobody;
         }
+        let placement = match ask.prompt {
+            Some(prompt) => self.choose_engine(ask, prompt, candidates, now),
+            None => self.choose_plain(candidates),
+        };
+        placement.map_or(Choice::Full, Choice::Placed)
     }
 
     fn choose_plain(&self, candidates: Vec<(RunnerKey, &RunnerState)>) -> Option<Placement> {
@@ -87,18 +103,19 @@
     fn choose_engine(
         &self,
         ask: &Ask<'_>,
+        prompt: &Prompt,
         candidates: Vec<(RunnerKey, &RunnerState)>,
         now: Millis,
     ) -> Option<Placement> {
-        let prompt = ask.prompt?;
         let chains = shared_chains(prompt);
         let (held_tokens, holders) = self.caches.longest_held(&chains, now);
         let source = holders.iter().find_map(|key| self.runners.get(*key));
         let shared = prompt.shared_tokens();
         let own = prompt.input_tokens.saturating_sub(shared);
-        let interactive = self.interactive_bound(&candidates);
+        let interactive = self.interactive_bound(ask.service);
         let seed = chains.first().map_or(0, |chain| chain.hash);
         let mut ranked = candidates;
+        ranked.retain(|(_, state)| admits(state.load(), state.record.slots, ask.priority));
         ranked.sort_by_key(|(_, state)| mix(seed, state.hash));
         let option = |(rank, (key, state)): (usize, (RunnerKey, &RunnerState))| {
             let cached = self.caches.cached_tokens(&chains, key, now);
@@ -119,8 +136,10 @@
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
-    fn interactive_bound(&self, candidates: &[(RunnerKey, &RunnerState)]) -> u64 {
-        let mut hashes: Vec<u64> = candidates.iter().map(|(_, state)| side_hash(state)).collect();
+    fn interactive_bound(&self, service: &ModelName) -> u64 {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let ready = keys.iter().map(|key| &self.runners[*key]).filter(|state| state.record.is_ready);
+        let mut hashes: Vec<u64> = ready.map(side_hash).collect();
         hashes.sort_unstable();
         let count = hashes.len().div_ceil(INTERACTIVE_SHARE);
         hashes.get(count.saturating_sub(1)).copied().unwrap_or(0)
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,7 +11,7 @@
 use crate::caller::{Caller, CallerGone};
 use crate::dialect::Dialect;
 use crate::events_stream::EventStream;
-use crate::fleet::Placement;
+use crate::fleet::{Choice, Placement};
 use crate::gate::Gate;
 use crate::http::{Reply, ResponseHead};
 use crate::job::Job;
@@ -31,6 +31,9 @@
 /// When callers may come back while no runner can be reached; spread so that they do not return at once.
 const RETRY_LATER: Duration = Duration::from_millis(400);
 
+/// When callers may come back while runners are full: some of the requests under way have ended by then.
+const RETRY_FULL: Duration = Duration::from_millis(1_500);
+
 /// When callers of a request that crashes runners may come back.
 const RETRY_MUCH_LATER: Duration = Duration::from_secs(30);
 
@@ -94,9 +97,10 @@
         }
         self.gate.retries().first(&self.job.service, self.gate.now());
         loop {
-            let placement = place(self.gate, &self.job.ask()).await;
-            let Some(placement) = placement else {
-                return self.give_up("no runner takes it").await;
+            let placement = match place(self.gate, &self.job.ask()).await {
+                Choice::Placed(placement) => placement,
+                Choice::Full => return self.give_up("runners are full", RETRY_FULL).await,
+                Choice::Nobody => return self.give_up("no runner takes it", RETRY_LATER).await,
             };
             self.log_placement(&placement);
             let attempt = self.attempt(&placement, content).await;
@@ -120,14 +124,14 @@
                 if self.unreached < MOST_UNREACHED {
                     return None;
                 }
-                Some(self.give_up("runners cannot be reached").await)
+                Some(self.give_up("runners cannot be reached", RETRY_LATER).await)
             }
             Attempt::NotRun => {
                 self.rejections += 1;
                 if self.rejections < MOST_REJECTIONS && self.has_time() && self.take_repeat() {
                     return None;
                 }
-                Some(self.give_up("runners reject it").await)
+                Some(self.give_up("runners reject it", RETRY_FULL).await)
             }
             Attempt::Cut if self.may_repeat() => {
                 record!(
@@ -169,14 +173,14 @@
     }
 
     /// Ends a request that no runner is running: refused if none can have run it.
-    async fn give_up(&mut self, reason: &str) -> Ending {
+    async fn give_up(&mut self, reason: &str, later: Duration) -> Ending {
         if self.caller.is_started() {
             return Ending::Cut;
         }
         if self.runs > 0 {
             return self.fail(None).await;
         }
-        self.refuse(reason, RETRY_LATER).await
+        self.refuse(reason, later).await
     }
 
     async fn refuse(&mut self, reason: &str, later: Duration) -> Ending {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -139,6 +139,9 @@
     /// The longest pause between events that is on time, in milliseconds; 0 if none is stated.
     #[prost(uint64, tag = "9")]
     pub pause_ms: u64,
+    /// How urgent the request is; 0 is the most urgent.
+    #[prost(uint32, tag = "11")]
+    pub priority: u32,
     /// Runners that the request was sent to before.
     #[prost(string, repeated, tag = "10")]
     pub tried: Vec<String>,
@@ -153,6 +156,9 @@
     /// The runner's name; empty if none takes the request.
     #[prost(string, tag = "2")]
     pub runner: String,
+    /// Whether all runners are full for a request of its priority.
+    #[prost(bool, tag = "5")]
+    pub is_full: bool,
     /// The address of a runner that has the prompt's beginning; empty if none is needed.
     #[prost(string, tag = "3")]
     pub source: String,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -45,6 +45,7 @@
             service: &self.service,
             prompt: self.caller.prompt.as_ref(),
             longest_pause: self.route.longest_pause,
+            priority: self.priority(),
             tried: &self.tried,
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,18 +15,19 @@
 use crate::placer::answer;
 use crate::{ConfigVersion, Event, record};
 
-/// The shortest time between heartbeats to all peers.
-const HEARTBEAT_TIME: Millis = Millis(120);
+/// The pause after a datagram that could not be received.
+const RECEIVE_REST: Millis = Millis(100);
 
-/// The time that each known peer adds between heartbeats, so that a daemon sends a bounded number a second.
-const TIME_FOR_PEER: Millis = Millis(10);
+/// Daemons that are told what runners carry and have cached: the one that places, and the next, so that it can
+/// go on.
+const TOLD_LOADS: usize = 2;
 
 /// After so long a daemon has heard where the beginnings of prompts in use were sent; they come back about every
 /// seven seconds.
 const SETTLED: Millis = Millis(10_000);
 
 /// Members named in one heartbeat, for daemons that lack the store.
-const MEMBERS_TOLD: usize = 4;
+const MEMBERS_TOLD: usize = 1;
 
 /// The largest heartbeat.
 const MAX_DATAGRAM: usize = 16 * 1024;
@@ -45,10 +46,14 @@
     let mut last = gate.now();
     loop {
         let now = gate.now();
-        let targets = targets(&gate);
-        let heartbeat = Datagram::from(Content::Heartbeat(compose(&gate, now))).encode_to_vec();
-        for target in &targets {
-            if let Err(error) = socket.send_to(&heartbeat, *target).await {
+        let heartbeat = compose(&gate, now);
+        let slim = Heartbeat { loads: Vec::new(), caches: Vec::new(), ..heartbeat.clone() };
+        let full = Datagram::from(Content::Heartbeat(heartbeat)).encode_to_vec();
+        let slim = Datagram::from(Content::Heartbeat(slim)).encode_to_vec();
+        let told = placing_addresses(&gate, now);
+        for target in targets(&gate) {
+            let bytes = if told.contains(&target) { &full } else { &slim };
+            if let Err(error) = socket.send_to(bytes, target).await {
                 log::debug!("a heartbeat to {target} was not sent: {error}");
             }
         }
@@ -60,11 +65,18 @@
         gate.fleet().sweep(now);
         gate.metrics.peers.set(i64::try_from(gate.roster().live_count(now)).unwrap_or(i64::MAX));
         last = now;
-        let pause = HEARTBEAT_TIME.0.max(TIME_FOR_PEER.0 * targets.len() as u64);
-        Timer::after(Millis(pause).into()).await;
+        let pause = gate.roster().heartbeat_time();
+        Timer::after(pause.into()).await;
     }
 }
 
+/// Where the daemons are that are told what runners carry.
+fn placing_addresses<D: Dialect>(gate: &Gate<D>, now: Millis) -> Vec<SocketAddr> {
+    let roster = gate.roster();
+    let placing = roster.placing_daemons(now).into_iter().take(TOLD_LOADS);
+    placing.filter_map(|member| Some(SocketAddr::new(member.ip.parse().ok()?, gate.settings.heartbeat_port))).collect()
+}
+
 fn targets<D: Dialect>(gate: &Gate<D>) -> Vec<SocketAddr> {
     let port = gate.settings.heartbeat_port;
     let roster = gate.roster();
@@ -106,7 +118,7 @@
             Ok(received) => received,
             Err(error) => {
                 log::debug!("a heartbeat could not be received: {error}");
-                Timer::after(HEARTBEAT_TIME.into()).await;
+                Timer::after(RECEIVE_REST.into()).await;
                 continue;
             }
         };
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -13,10 +13,10 @@
 use teaselcroft_parts::{Millis, ModelName, RunnerName};
 
 use crate::dialect::Dialect;
-use crate::fleet::{Ask, Placement};
+use crate::fleet::{Ask, Choice, Placement};
 use crate::gate::Gate;
 use crate::heartbeat::{Content, Datagram, LoadReport, PlaceAsk, PlaceGrant};
-use crate::{Prompt, PromptPart};
+use crate::{Event, Priority, Prompt, PromptPart, record};
 
 /// How long an answer is waited for: some times the way there and back within a region.
 const ANSWER_TIME: Millis = Millis(40);
@@ -90,31 +90,31 @@
         })
         .await;
         if answer.is_none() {
-            self.missed(number, now);
+            self.missed(number, target, now);
         }
         answer
     }
 
-    fn missed(&self, number: u64, now: Millis) {
+    fn missed(&self, number: u64, target: SocketAddr, now: Millis) {
         let mut pending = self.pending();
         pending.answers.remove(&number);
         pending.unanswered += 1;
         if pending.unanswered >= MOST_UNANSWERED {
             pending.unanswered = 0;
             pending.rest_until = now + REST_TIME;
+            record!(Event::PlacingAlone, asked = target, span = REST_TIME);
         }
     }
 }
 
 /// The runner for a request: chosen by the placing daemon, or here if that is this one or does not answer.
-pub async fn place<D: Dialect>(gate: &Gate<D>, ask: &Ask<'_>) -> Option<Placement> {
+pub async fn place<D: Dialect>(gate: &Gate<D>, ask: &Ask<'_>) -> Choice {
     if let Some(prompt) = ask.prompt
         && let Some(target) = placing_address(gate)
     {
         let granted = gate.placer.ask(target, question(gate, ask, prompt), gate.now()).await;
-        let placement = granted.and_then(|grant| granted_placement(gate, ask, &grant));
-        if placement.is_some() {
-            return placement;
+        if let Some(choice) = granted.and_then(|grant| granted_choice(gate, ask, &grant)) {
+            return choice;
         }
     }
     let now = gate.now();
@@ -144,17 +144,21 @@
         input_tokens: prompt.input_tokens,
         output_tokens: prompt.output_tokens,
         pause_ms: ask.longest_pause.map_or(0, |pause| pause.0),
+        priority: ask.priority.0.into(),
         tried: ask.tried.iter().map(RunnerName::to_string).collect(),
     }
 }
 
-/// The placement that was granted, unless this daemon knows that the runner takes no requests.
-fn granted_placement<D: Dialect>(gate: &Gate<D>, ask: &Ask<'_>, grant: &PlaceGrant) -> Option<Placement> {
+/// What was granted, unless this daemon knows better.
+fn granted_choice<D: Dialect>(gate: &Gate<D>, ask: &Ask<'_>, grant: &PlaceGrant) -> Option<Choice> {
+    if grant.is_full {
+        return Some(Choice::Full);
+    }
     let name: RunnerName = grant.runner.parse().ok()?;
     let (key, record, load) = gate.fleet().find(&name)?;
     let fits = record.is_ready && record.service == *ask.service && !ask.tried.contains(&name);
     let fetch_from = grant.source.parse().ok();
-    fits.then_some(Placement { key, record, fetch_from, reading: grant.reading, load })
+    fits.then_some(Choice::Placed(Placement { key, record, fetch_from, reading: grant.reading, load }))
 }
 
 /// Answers a question as the placing daemon.
@@ -179,10 +183,15 @@
         parts: parts.map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens }).collect(),
     };
     let longest_pause = (question.pause_ms > 0).then_some(Millis(question.pause_ms));
-    let ask = Ask { service: &service, prompt: Some(&prompt), longest_pause, tried: &tried };
+    let priority = Priority(u8::try_from(question.priority).unwrap_or(Priority::LEAST.0));
+    let ask = Ask { service: &service, prompt: Some(&prompt), longest_pause, priority, tried: &tried };
     let now = gate.now();
     let mut fleet = gate.fleet();
-    let placement = fleet.choose(&ask, now)?;
+    let placement = match fleet.choose(&ask, now) {
+        Choice::Placed(placement) => placement,
+        Choice::Full => return Some(PlaceGrant { number: question.number, is_full: true, ..PlaceGrant::default() }),
+        Choice::Nobody => return None,
+    };
     fleet.granted(&question.daemon, question.number, placement.key, placement.reading, now);
     fleet.cached(placement.key, &prompt, now);
     Some(PlaceGrant {
@@ -190,6 +199,7 @@
         runner: placement.record.name.to_string(),
         source: placement.fetch_from.map(|source| source.to_string()).unwrap_or_default(),
         reading: placement.reading,
+        is_full: false,
     })
 }
 
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -7,9 +7,18 @@
 
 use crate::heartbeat::{MemberRecord, Phase};
 
-/// A peer that was not heard for so long is not named to callers.
+/// A peer that was not heard for so long, or for four heartbeats, is not named to callers.
 const SILENCE: Millis = Millis(1_000);
 
+/// Heartbeats that may be missed.
+const MISSED_HEARTBEATS: u64 = 4;
+
+/// The shortest time between heartbeats to all peers.
+const HEARTBEAT_TIME: Millis = Millis(120);
+
+/// The time that each known peer adds between heartbeats, so that a daemon sends a bounded number a second.
+const TIME_FOR_PEER: Millis = Millis(10);
+
 /// A peer that is neither registered nor heard for so long is forgotten.
 const FORGOTTEN: Millis = Millis(15_000);
 
@@ -24,8 +33,8 @@
 }
 
 impl Peer {
-    fn is_live(&self, now: Millis) -> bool {
-        self.record.phase() == Phase::Ready && now.since(self.heard.unwrap_or(self.known)) <= SILENCE
+    fn is_live(&self, now: Millis, silence: Millis) -> bool {
+        self.record.phase() == Phase::Ready && now.since(self.heard.unwrap_or(self.known)) <= silence
     }
 
     fn front(&self) -> Option<SocketAddr> {
@@ -56,6 +65,15 @@
         Roster { me, peers: BTreeMap::new() }
     }
 
+    /// The time between heartbeats to all peers.
+    pub fn heartbeat_time(&self) -> Millis {
+        Millis(TIME_FOR_PEER.0 * self.peers.len() as u64).max(HEARTBEAT_TIME)
+    }
+
+    fn silence(&self) -> Millis {
+        Millis(self.heartbeat_time().0 * MISSED_HEARTBEATS).max(SILENCE)
+    }
+
     /// Takes in a record from the store or from a peer's list.
     pub fn learn(&mut self, record: MemberRecord, is_registered: bool, now: Millis) {
         if record.name == self.me.name {
@@ -76,16 +94,17 @@
     /// Takes in a record that its own daemon sent; true if it was not live before.
     pub fn heard(&mut self, record: MemberRecord, now: Millis) -> bool {
         self.learn(record.clone(), false, now);
+        let silence = self.silence();
         let Some(peer) = self.peers.get_mut(&record.name) else {
             return false;
         };
         if record.incarnation < peer.record.incarnation {
             return false;
         }
-        let was_live = peer.is_live(now) && peer.heard.is_some();
+        let was_live = peer.is_live(now, silence) && peer.heard.is_some();
         peer.record = record;
         peer.heard = Some(now);
-        !was_live && peer.is_live(now)
+        !was_live && peer.is_live(now, silence)
     }
 
     /// Takes in which daemons the store lists.
@@ -115,22 +134,32 @@
 
     /// Peers that are ready and heard.
     pub fn live_count(&self, now: Millis) -> usize {
-        self.peers.values().filter(|peer| peer.is_live(now)).count()
+        let silence = self.silence();
+        self.peers.values().filter(|peer| peer.is_live(now, silence)).count()
+    }
+
+    /// Ready daemons in the order in which they place for all: settled ones first, then those on the largest VMs.
+    /// Daemons that see different ones live choose differently for a moment, which makes placing less exact
+    /// and breaks nothing.
+    pub fn placing_daemons(&self, now: Millis) -> Vec<&MemberRecord> {
+        let silence = self.silence();
+        let live = self.peers.values().filter(|peer| peer.is_live(now, silence)).map(|peer| &peer.record);
+        let mut ready: Vec<&MemberRecord> = live.chain((self.me.phase() == Phase::Ready).then_some(&self.me)).collect();
+        ready.sort_by_key(|member| std::cmp::Reverse((member.is_settled, member.cpu_milli, &member.name)));
+        ready
     }
 
-    /// The daemon that places for all: of those that are ready one that is settled, on the largest VM. Daemons that see
-    /// different ones live choose differently for a moment, which makes placing less exact and breaks nothing.
+    /// The daemon that places for all.
     pub fn placing_daemon(&self, now: Millis) -> &MemberRecord {
-        let live = self.peers.values().filter(|peer| peer.is_live(now)).map(|peer| &peer.record);
-        let ready = live.chain((self.me.phase() == Phase::Ready).then_some(&self.me));
-        ready.max_by_key(|member| (member.is_settled, member.cpu_milli, &member.name)).unwrap_or(&self.me)
+        self.placing_daemons(now).first().copied().unwrap_or(&self.me)
     }
 
     /// The addresses for a caller in `zone`: daemons of its own zone if any is ready, else all that are. A daemon
     /// that hears nobody is likely cut off itself and names all that it knew.
     pub fn addresses(&self, zone: Option<&str>, now: Millis) -> Vec<SocketAddr> {
-        let nobody = self.peers.values().all(|peer| !peer.is_live(now));
-        let usable = |peer: &&Peer| peer.is_live(now) || (nobody && peer.record.phase() == Phase::Ready);
+        let silence = self.silence();
+        let nobody = self.peers.values().all(|peer| !peer.is_live(now, silence));
+        let usable = |peer: &&Peer| peer.is_live(now, silence) || (nobody && peer.record.phase() == Phase::Ready);
         let mut all: Vec<(&str, SocketAddr)> = self
             .peers
             .values()
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -4,9 +4,9 @@
 
 use std::net::SocketAddr;
 
-use teaselcroft_gateway::fleet::{Ask, Fleet, Placement, runner_hash};
+use teaselcroft_gateway::fleet::{Ask, Choice, Fleet, Placement, runner_hash};
 use teaselcroft_gateway::heartbeat::RunnerLoad;
-use teaselcroft_gateway::{Prompt, PromptPart, RunnerRecord};
+use teaselcroft_gateway::{Priority, Prompt, PromptPart, RunnerRecord};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
 
 const PAUSE_INTERACTIVE: Option<Millis> = Some(Millis(250));
@@ -47,9 +47,17 @@
     Prompt { model: "m".into(), input_tokens: shared_tokens + own_tokens, output_tokens: 100, parts }
 }
 
-fn choose(fleet: &Fleet, prompt: &Prompt, pause: Option<Millis>, now: Millis) -> Option<Placement> {
+fn choice(fleet: &Fleet, prompt: &Prompt, pause: Option<Millis>, priority: u8, now: Millis) -> Choice {
     let service = service();
-    fleet.choose(&Ask { service: &service, prompt: Some(prompt), longest_pause: pause, tried: &[] }, now)
+    let priority = Priority(priority);
+    fleet.choose(&Ask { service: &service, prompt: Some(prompt), longest_pause: pause, priority, tried: &[] }, now)
+}
+
+fn choose(fleet: &Fleet, prompt: &Prompt, pause: Option<Millis>, now: Millis) -> Option<Placement> {
+    match choice(fleet, prompt, pause, 0, now) {
+        Choice::Placed(placement) => Some(placement),
+        Choice::Full | Choice::Nobody => None,
+    }
 }
 
 /// Places a request and counts it at its runner.
@@ -187,12 +195,39 @@
         fleet.seen(runner(number, zone_name, 6));
     });
     let service = service();
-    let plain = Ask { service: &service, prompt: None, longest_pause: None, tried: &[] };
+    let plain = Ask { service: &service, prompt: None, longest_pause: None, priority: Priority(2), tried: &[] };
+    let choose_plain = |fleet: &Fleet| match fleet.choose(&plain, Millis(0)) {
+        Choice::Placed(placement) => placement,
+        other => panic!("{other:?}"),
+    };
 
-    let first = fleet.choose(&plain, Millis(0)).unwrap();
+    let first = choose_plain(&fleet);
     fleet.begin(first.key, 0);
-    let second = fleet.choose(&plain, Millis(0)).unwrap();
+    let second = choose_plain(&fleet);
 
     assert_eq!(first.record.name.as_str(), "i-1");
     assert_ne!(second.record.name.as_str(), "i-1");
 }
+
+#[test]
+fn a_burst_of_lesser_requests_leaves_places_for_more_urgent_ones() {
+    let mut fleet = fleet(6);
+    let mut taken = 0;
+    while let Choice::Placed(placement) = choice(&fleet, &prompt(taken, 0, 3_000), PAUSE_PATIENT, 2, Millis(taken)) {
+        fleet.begin(placement.key, placement.reading);
+        taken += 1;
+    }
+
+    let next = |priority| choice(&fleet, &prompt(9, 0, 3_000), PAUSE_PATIENT, priority, Millis(taken));
+
+    assert_eq!(taken, 6 * 32, "half of each runner's 64 slots");
+    assert!(matches!(next(2), Choice::Full));
+    assert!(matches!(next(1), Choice::Placed(_)) && matches!(next(0), Choice::Placed(_)));
+    assert!(matches!(
+        Fleet::new(zone("fayon")).choose(
+            &Ask { service: &service(), prompt: None, longest_pause: None, priority: Priority(0), tried: &[] },
+            Millis(0)
+        ),
+        Choice::Nobody
+    ));
+}
