Refuse what cannot begin in time; fetch only what has been read

Change: a lesser request is refused where its turn comes after 1.5 targets; a part counts as fetchable once its runner has likely read it; reading again costs 0.05 ms a token more than waiting.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -42,6 +42,12 @@
 /// How long peers are told where a beginning was sent; more than one heartbeat, since datagrams get lost.
 const NEWS_TOLD: Millis = Millis(800);
 
+/// How long after the news a peer's prompt is taken to be read.
+const NEWS_READ: Millis = Millis(500);
+
+/// Prompt tokens that an engine reads in a millisecond, for estimates.
+const READ_TOKENS_PER_MS: f64 = 50.0;
+
 /// How long peers are told that a runner left; several heartbeats, since datagrams get lost.
 const LEFT_TOLD: Millis = Millis(2_000);
 
@@ -167,8 +173,10 @@
         let Some(state) = self.runners.get(key) else {
             return;
         };
+        let wait = f64::from(state.load().reading) / READ_TOKENS_PER_MS;
+        let read = now + Millis(wait as u64);
         for chain in shared_chains(prompt) {
-            self.caches.note(chain.hash, key, now);
+            self.caches.note(chain.hash, key, now, read);
             self.news.push((now, CacheNews { chain: chain.hash, runner: state.hash }));
         }
     }
@@ -177,7 +185,7 @@
     pub fn peer_caches(&mut self, news: &[CacheNews], now: Millis) {
         for one in news {
             if let Some(key) = self.hashes.get(&one.runner) {
-                self.caches.note(one.chain, *key, now);
+                self.caches.note(one.chain, *key, now, now + NEWS_READ);
             }
         }
     }
--- a/crates/gateway/src/fleet/admission.rs
+++ b/crates/gateway/src/fleet/admission.rs
@@ -4,6 +4,8 @@
 //! longer than callers wait, and slots run out for urgent work too. Less urgent requests therefore leave a part
 //! of each runner free; beyond it they are refused at once and may come back.
 
+use teaselcroft_parts::Millis;
+
 use super::Load;
 use crate::Priority;
 
@@ -16,6 +18,15 @@
 /// The smallest part.
 const LEAST_SHARE: f64 = 0.5;
 
+/// How many times a request's target may pass before its prompt's turn comes.
+const WAIT_SHARE: f64 = 1.5;
+
+/// Whether a request of this priority that would wait so long still begins in time; the most urgent ones are
+/// read first and wait for nobody.
+pub fn begins_in_time(wait: f64, target: Millis, priority: Priority) -> bool {
+    priority == Priority(0) || wait <= target.0 as f64 * WAIT_SHARE
+}
+
 /// Whether a runner with `slots` slots that carries `load` takes a request of this priority.
 pub fn admits(load: Load, slots: u32, priority: Priority) -> bool {
     let share = (MOST_URGENT_SHARE - SHARE_STEP * f64::from(priority.0)).max(LEAST_SHARE);
--- a/crates/gateway/src/fleet/ask.rs
+++ b/crates/gateway/src/fleet/ask.rs
@@ -15,6 +15,8 @@
     pub longest_pause: Option<Millis>,
     /// How urgent it is.
     pub priority: Priority,
+    /// The time in which its first event is on time.
+    pub target: Millis,
     /// Runners that it was already sent to.
     pub tried: &'a [RunnerName],
 }
--- a/crates/gateway/src/fleet/cache_map.rs
+++ b/crates/gateway/src/fleet/cache_map.rs
@@ -26,6 +26,19 @@
 struct Holder {
     runner: RunnerKey,
     used: Millis,
+    /// When the runner has likely read it, so that others can fetch it.
+    read: Millis,
+}
+
+/// What runners have of a prompt.
+#[derive(Debug, Default)]
+pub struct Held {
+    /// Tokens of the longest beginning that some runner has read or will read.
+    pub known: u32,
+    /// Tokens of the longest beginning that can be fetched.
+    pub fetchable: u32,
+    /// The runners that have it.
+    pub sources: Vec<RunnerKey>,
 }
 
 /// Which runners have which prompt beginnings in their cache.
@@ -48,38 +61,45 @@
 }
 
 impl CacheMap {
-    /// Notes that a request with this beginning was sent to a runner.
-    pub fn note(&mut self, chain: u64, runner: RunnerKey, now: Millis) {
+    /// Notes that a request with this beginning was sent to a runner, which will have read it at `read`.
+    pub fn note(&mut self, chain: u64, runner: RunnerKey, now: Millis, read: Millis) {
         if self.holders.len() >= MOST_CHAINS && !self.holders.contains_key(&chain) {
             self.sweep(now);
         }
         let holders = self.holders.entry(chain).or_default();
         match holders.iter_mut().find(|holder| holder.runner == runner) {
             Some(holder) => holder.used = now,
-            None => holders.push(Holder { runner, used: now }),
+            None => holders.push(Holder { runner, used: now, read }),
         }
     }
 
     /// The tokens of the longest of `chains` that a runner has.
     pub fn cached_tokens(&self, chains: &[Chain], runner: RunnerKey, now: Millis) -> u32 {
-        let has = |chain: &&Chain| self.holders_of(chain.hash, now).any(|holder| holder == runner);
+        let has = |chain: &&Chain| self.live_holders(chain.hash, now).any(|holder| holder.runner == runner);
         chains.iter().rev().find(has).map_or(0, |chain| chain.tokens)
     }
 
-    /// The runners that have the longest known of `chains`, and its tokens.
-    pub fn longest_held(&self, chains: &[Chain], now: Millis) -> (u32, Vec<RunnerKey>) {
+    /// The tokens of the longest known of `chains`, and those of the longest that can be fetched with the runners
+    /// that have it.
+    pub fn longest_held(&self, chains: &[Chain], now: Millis) -> Held {
+        let mut held = Held::default();
         for chain in chains.iter().rev() {
-            let holders: Vec<RunnerKey> = self.holders_of(chain.hash, now).collect();
+            let holders: Vec<&Holder> = self.live_holders(chain.hash, now).collect();
             if !holders.is_empty() {
-                return (chain.tokens, holders);
+                held.known = held.known.max(chain.tokens);
+            }
+            held.sources = holders.iter().filter(|holder| holder.read <= now).map(|holder| holder.runner).collect();
+            if !held.sources.is_empty() {
+                held.fetchable = chain.tokens;
+                break;
             }
         }
-        (0, Vec::new())
+        held
     }
 
-    fn holders_of(&self, chain: u64, now: Millis) -> impl Iterator<Item = RunnerKey> + '_ {
+    fn live_holders(&self, chain: u64, now: Millis) -> impl Iterator<Item = &Holder> + '_ {
         let holders = self.holders.get(&chain).map_or(&[][..], Vec::as_slice);
-        holders.iter().filter(move |holder| now.since(holder.used) < FORGOTTEN).map(|holder| holder.runner)
+        holders.iter().filter(move |holder| now.since(holder.used) < FORGOTTEN)
     }
 
     /// Forgets a runner.
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -5,15 +5,12 @@
 
 use teaselcroft_parts::{Millis, ModelName};
 
-use super::admission::admits;
+use super::admission::{admits, begins_in_time};
 use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
-use super::{Ask, Fleet, Load, RunnerKey};
+use super::{Ask, Fleet, Load, READ_TOKENS_PER_MS, RunnerKey};
 use crate::{Prompt, RunnerRecord};
 
-/// Prompt tokens that an engine reads in a millisecond, for estimates before anything was observed.
-const READ_TOKENS_PER_MS: f64 = 50.0;
-
 /// What one more request in a batch adds to the wait of the others, in milliseconds.
 const REQUEST_MS: f64 = 2.0;
 
@@ -21,6 +18,9 @@
 /// has its price, so that a request rather waits for the runner that has its beginning while it is in time.
 const FETCH_MS: f64 = 0.04;
 
+/// What reading a token again costs that another runner has read or is reading, as time.
+const AGAIN_MS: f64 = 0.05;
+
 /// What a later place in the order of runners costs, in milliseconds: daemons that meet a new beginning at the
 /// same moment choose the same runner.
 const RANK_MS: f64 = 5.0;
@@ -108,8 +108,8 @@
         now: Millis,
     ) -> Option<Placement> {
         let chains = shared_chains(prompt);
-        let (held_tokens, holders) = self.caches.longest_held(&chains, now);
-        let source = holders.iter().find_map(|key| self.runners.get(*key));
+        let held = self.caches.longest_held(&chains, now);
+        let source = held.sources.iter().find_map(|key| self.runners.get(*key));
         let shared = prompt.shared_tokens();
         let own = prompt.input_tokens.saturating_sub(shared);
         let interactive = self.interactive_bound(ask.service);
@@ -119,20 +119,24 @@
         ranked.sort_by_key(|(_, state)| mix(seed, state.hash));
         let option = |(rank, (key, state)): (usize, (RunnerKey, &RunnerState))| {
             let cached = self.caches.cached_tokens(&chains, key, now);
-            let fetched = held_tokens.saturating_sub(cached);
-            let reading = own + shared.saturating_sub(cached.max(held_tokens));
+            let fetched = held.fetchable.saturating_sub(cached);
+            let again = held.known.saturating_sub(cached + fetched);
+            let reading = own + shared.saturating_sub(cached + fetched);
             let load = state.load();
             let is_on_side = (side_hash(state) <= interactive) == ask.is_interactive();
-            let cost = f64::from(load.reading + reading) / READ_TOKENS_PER_MS
+            let wait = f64::from(load.reading + reading) / READ_TOKENS_PER_MS;
+            let cost = wait
                 + f64::from(load.requests) * REQUEST_MS
                 + f64::from(fetched) * FETCH_MS
+                + f64::from(again) * AGAIN_MS
                 + RANK_MS * rank.min(RANKED) as f64
                 + if is_on_side { 0.0 } else { SIDE_MS };
             let fetch_from = source.filter(|_| fetched > 0).map(|source| source.record.address);
-            (cost, Placement { key, record: state.record.clone(), fetch_from, reading, load })
+            (cost, wait, Placement { key, record: state.record.clone(), fetch_from, reading, load })
         };
-        let best = ranked.into_iter().enumerate().map(option).min_by(|one, other| one.0.total_cmp(&other.0))?;
-        Some(best.1)
+        let in_time = |wait: f64| begins_in_time(wait, ask.target, ask.priority);
+        let options = ranked.into_iter().enumerate().map(option).filter(|(_, wait, _)| in_time(*wait));
+        options.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, _, placement)| placement)
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -142,6 +142,9 @@
     /// How urgent the request is; 0 is the most urgent.
     #[prost(uint32, tag = "11")]
     pub priority: u32,
+    /// The time in which its first event is on time, in milliseconds.
+    #[prost(uint64, tag = "12")]
+    pub target_ms: u64,
     /// Runners that the request was sent to before.
     #[prost(string, repeated, tag = "10")]
     pub tried: Vec<String>,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -46,6 +46,7 @@
             prompt: self.caller.prompt.as_ref(),
             longest_pause: self.route.longest_pause,
             priority: self.priority(),
+            target: self.route.target,
             tried: &self.tried,
         }
     }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -145,6 +145,7 @@
         output_tokens: prompt.output_tokens,
         pause_ms: ask.longest_pause.map_or(0, |pause| pause.0),
         priority: ask.priority.0.into(),
+        target_ms: ask.target.0,
         tried: ask.tried.iter().map(RunnerName::to_string).collect(),
     }
 }
@@ -184,7 +185,8 @@
     };
     let longest_pause = (question.pause_ms > 0).then_some(Millis(question.pause_ms));
     let priority = Priority(u8::try_from(question.priority).unwrap_or(Priority::LEAST.0));
-    let ask = Ask { service: &service, prompt: Some(&prompt), longest_pause, priority, tried: &tried };
+    let target = Millis(question.target_ms);
+    let ask = Ask { service: &service, prompt: Some(&prompt), longest_pause, priority, target, tried: &tried };
     let now = gate.now();
     let mut fleet = gate.fleet();
     let placement = match fleet.choose(&ask, now) {
