Do not read a large part twice that a sound runner is reading

Cause: in a cold burst the same part is read by two runners at once. Change: a lesser request does not read a part of 2,000 tokens or more that a sound runner is reading.

--- a/crates/gateway/src/fleet/cache_map.rs
+++ b/crates/gateway/src/fleet/cache_map.rs
@@ -35,6 +35,8 @@
 pub struct Held {
     /// Tokens of the longest beginning that some runner has read or will read.
     pub known: u32,
+    /// The runners that have read or will read it.
+    pub readers: Vec<RunnerKey>,
     /// Tokens of the longest beginning that can be fetched.
     pub fetchable: u32,
     /// The runners that have it.
@@ -85,8 +87,9 @@
         let mut held = Held::default();
         for chain in chains.iter().rev() {
             let holders: Vec<&Holder> = self.live_holders(chain.hash, now).collect();
-            if !holders.is_empty() {
-                held.known = held.known.max(chain.tokens);
+            if !holders.is_empty() && held.readers.is_empty() {
+                held.known = chain.tokens;
+                held.readers = holders.iter().map(|holder| holder.runner).collect();
             }
             held.sources = holders.iter().filter(|holder| holder.read <= now).map(|holder| holder.runner).collect();
             if !held.sources.is_empty() {
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -9,7 +9,7 @@
 use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
 use super::{Ask, Fleet, Load, READ_TOKENS_PER_MS, RunnerKey};
-use crate::{Prompt, RunnerRecord};
+use crate::{Priority, Prompt, RunnerRecord};
 
 /// What one more request in a batch adds to the wait of the others, in milliseconds.
 const REQUEST_MS: f64 = 2.0;
@@ -18,6 +18,10 @@
 /// has its price, so that a request rather waits for the runner that has its beginning while it is in time.
 const FETCH_MS: f64 = 0.04;
 
+/// A lesser request does not read a part of so many tokens that a sound runner is reading already: the runners
+/// have not the time in a burst, and a moment later the part can be fetched.
+const LARGE_PART: u32 = 2_000;
+
 /// What reading a token again costs that another runner has read or is reading, as time.
 const AGAIN_MS: f64 = 0.05;
 
@@ -114,6 +118,8 @@
         let own = prompt.input_tokens.saturating_sub(shared);
         let interactive = self.interactive_bound(ask.service);
         let seed = chains.first().map_or(0, |chain| chain.hash);
+        let is_read_soon = candidates.iter().any(|(key, _)| held.readers.contains(key));
+        let may_repeat = ask.priority == Priority(0) || !is_read_soon;
         let mut ranked = candidates;
         ranked.retain(|(_, state)| admits(state.load(), state.record.slots, ask.priority));
         ranked.sort_by_key(|(_, state)| mix(seed, state.hash));
@@ -132,11 +138,12 @@
                 + RANK_MS * rank.min(RANKED) as f64
                 + if is_on_side { 0.0 } else { SIDE_MS };
             let fetch_from = source.filter(|_| fetched > 0).map(|source| source.record.address);
-            (cost, wait, Placement { key, record: state.record.clone(), fetch_from, reading, load })
+            (cost, wait, again, Placement { key, record: state.record.clone(), fetch_from, reading, load })
         };
         let in_time = |wait: f64| begins_in_time(wait, ask.target, ask.priority);
-        let options = ranked.into_iter().enumerate().map(option).filter(|(_, wait, _)| in_time(*wait));
-        options.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, _, placement)| placement)
+        let options = ranked.into_iter().enumerate().map(option);
+        let options = options.filter(|(_, wait, again, _)| in_time(*wait) && (may_repeat || *again < LARGE_PART));
+        options.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, _, _, placement)| placement)
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
