--- a/crates/gateway/src/fleet/admission.rs
+++ b/crates/gateway/src/fleet/admission.rs
@@ -21,9 +21,10 @@
 /// How many times a request's target may pass before its prompt's turn comes.
 const WAIT_SHARE: f64 = 1.5;
 
-/// Whether a request of this priority that would wait so long still begins in time; the most urgent ones are
+/// Whether a request of this priority that would wait so long begins soon enough to be worth it: late answers still help their callers, and
+/// refused requests do not always return in time. The most urgent ones are
 /// read first and wait for nobody.
-pub fn begins_in_time(wait: f64, target: Millis, priority: Priority) -> bool {
+pub fn begins_soon(wait: f64, target: Millis, priority: Priority) -> bool {
     priority == Priority(0) || wait <= target.0 as f64 * WAIT_SHARE
 }
 
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -5,7 +5,7 @@
 
 use teaselcroft_parts::{Millis, ModelName};
 
-use super::admission::{admits, begins_in_time};
+use super::admission::{admits, begins_soon};
 use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
 use super::{Ask, Fleet, Load, READ_TOKENS_PER_MS, RunnerKey};
@@ -140,7 +140,7 @@
             let fetch_from = source.filter(|_| fetched > 0).map(|source| source.record.address);
             (cost, wait, again, Placement { key, record: state.record.clone(), fetch_from, reading, load })
         };
-        let in_time = |wait: f64| begins_in_time(wait, ask.target, ask.priority);
+        let in_time = |wait: f64| begins_soon(wait, ask.target, ask.priority);
         let options = ranked.into_iter().enumerate().map(option);
         let options = options.filter(|(_, wait, again, _)| in_time(*wait) && (may_repeat || *again < LARGE_PART));
         options.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, _, _, placement)| placement)
