--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 mod load;
 mod peer_loads;
 mod placement;
+mod pressure;
 mod runner_state;
 
 use std::collections::HashMap;
@@ -160,8 +161,9 @@
     }
 
     /// Counts a request that is sent to a runner.
-    pub fn begin(&mut self, key: RunnerKey, reading: u32) {
+    pub fn begin(&mut self, key: RunnerKey, reading: u32, now: Millis) {
         if let Some(state) = self.runners.get_mut(key) {
+            state.pressure.add(reading, now);
             state.mine.requests += 1;
             self.changed = true;
             state.mine.reading += reading;
@@ -255,6 +257,7 @@
         };
         let (hash, load) = (state.hash, Load { requests: 1, reading });
         state.others = state.others + load;
+        state.pressure.add(reading, now);
         self.peers.entry(peer.to_owned()).or_default().grant(number, hash, load, now);
     }
 
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -5,7 +5,7 @@
 
 use teaselcroft_parts::{Millis, ModelName};
 
-use super::admission::{admits, begins_soon};
+use super::admission::has_place;
 use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
 use super::{Ask, Fleet, Load, READ_TOKENS_PER_MS, RunnerKey};
@@ -65,6 +65,8 @@
     pub reading: u32,
     /// What the runner carried when it was chosen.
     pub load: Load,
+    /// Whether the placing daemon chose it, not this one.
+    pub is_granted: bool,
 }
 
 impl Fleet {
@@ -101,7 +103,14 @@
             .map(|(key, state)| (cost(state), key, state))
             .min_by(|one, other| one.0.total_cmp(&other.0))
             .map(|(_, key, state)| (key, state))?;
-        Some(Placement { key, record: state.record.clone(), fetch_from: None, reading: 0, load: state.load() })
+        Some(Placement {
+            key,
+            record: state.record.clone(),
+            fetch_from: None,
+            reading: 0,
+            load: state.load(),
+            is_granted: false,
+        })
     }
 
     fn choose_engine(
@@ -121,7 +130,7 @@
         let is_read_soon = candidates.iter().any(|(key, _)| held.readers.contains(key));
         let may_repeat = ask.priority == Priority(0) || !is_read_soon;
         let mut ranked = candidates;
-        ranked.retain(|(_, state)| admits(state.load(), state.record.slots, ask.priority));
+        ranked.retain(|(_, state)| has_place(state.load(), state.record.slots, ask.priority));
         ranked.sort_by_key(|(_, state)| mix(seed, state.hash));
         let option = |(rank, (key, state)): (usize, (RunnerKey, &RunnerState))| {
             let cached = self.caches.cached_tokens(&chains, key, now);
@@ -138,12 +147,13 @@
                 + RANK_MS * rank.min(RANKED) as f64
                 + if is_on_side { 0.0 } else { SIDE_MS };
             let fetch_from = source.filter(|_| fetched > 0).map(|source| source.record.address);
-            (cost, wait, again, Placement { key, record: state.record.clone(), fetch_from, reading, load })
+            (cost, again, Placement { key, record: state.record.clone(), fetch_from, reading, load, is_granted: false })
         };
-        let in_time = |wait: f64| begins_soon(wait, ask.target, ask.priority);
         let options = ranked.into_iter().enumerate().map(option);
-        let options = options.filter(|(_, wait, again, _)| in_time(*wait) && (may_repeat || *again < LARGE_PART));
-        options.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, _, _, placement)| placement)
+        let options = options.filter(|(_, again, _)| may_repeat || *again < LARGE_PART);
+        let (_, _, best) = options.min_by(|one, other| one.0.total_cmp(&other.0))?;
+        // The next best runner would read more for the same request: under pressure that only spreads it.
+        self.runners[best.key].pressure.admits(ask.priority, now).then_some(best)
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
--- a/crates/gateway/src/fleet/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -5,6 +5,7 @@
 use teaselcroft_parts::Millis;
 
 use super::Load;
+use super::pressure::Pressure;
 use crate::RunnerRecord;
 
 /// A known runner.
@@ -18,6 +19,8 @@
     pub mine: Load,
     /// What other daemons sent it.
     pub others: Load,
+    /// What it was given to read lately.
+    pub pressure: Pressure,
     /// Connections refused or broken in a row.
     pub failures: u32,
     /// Until when it is avoided.
@@ -31,6 +34,7 @@
             hash,
             mine: Load::default(),
             others: Load::default(),
+            pressure: Pressure::default(),
             failures: 0,
             avoided_until: Millis(0),
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -197,7 +197,9 @@
             runner = placement.record.name,
             attempt = self.job.tried.len() + 1,
             carried = placement.load.requests,
-            reading = placement.load.reading,
+            before = placement.load.reading,
+            reads = placement.reading,
+            granted = placement.is_granted,
             fetched = placement.fetch_from.is_some(),
             left = self.job.deadline.since(self.gate.now())
         );
--- a/crates/gateway/src/forward/under_way.rs
+++ b/crates/gateway/src/forward/under_way.rs
@@ -13,7 +13,8 @@
 
 impl<'a, D: Dialect> UnderWay<'a, D> {
     pub fn begin(gate: &'a Gate<D>, key: RunnerKey, reading: u32) -> UnderWay<'a, D> {
-        gate.fleet().begin(key, reading);
+        let now = gate.now();
+        gate.fleet().begin(key, reading, now);
         UnderWay { gate, key, reading }
     }
 
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -159,7 +159,14 @@
     let (key, record, load) = gate.fleet().find(&name)?;
     let fits = record.is_ready && record.service == *ask.service && !ask.tried.contains(&name);
     let fetch_from = grant.source.parse().ok();
-    fits.then_some(Choice::Placed(Placement { key, record, fetch_from, reading: grant.reading, load }))
+    fits.then_some(Choice::Placed(Placement {
+        key,
+        record,
+        fetch_from,
+        reading: grant.reading,
+        load,
+        is_granted: true,
+    }))
 }
 
 /// Answers a question as the placing daemon.
