--- a/crates/gateway/src/fleet/pressure.rs
+++ b/crates/gateway/src/fleet/pressure.rs
@@ -10,13 +10,13 @@
 use crate::Priority;
 
 /// The part of an engine's time that reading may take for long.
-const READING_SHARE: f64 = 0.65;
+const READING_SHARE: f64 = 0.6;
 
 /// The pressure up to which a request of the least urgent kinds is admitted: such a burst is read in so long.
-const MOST_PRESSURE: Millis = Millis(1500);
+const MOST_PRESSURE: Millis = Millis(1_000);
 
 /// The same for requests one step below the most urgent.
-const MOST_PRESSURE_URGENT: Millis = Millis(4000);
+const MOST_PRESSURE_URGENT: Millis = Millis(3_000);
 
 /// Tokens that a runner was given to read and that have not drained yet.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
