Send nothing after the events of a stream that cannot go on

Cause: where a broken stream was sent to a second runner and that one failed too, its failure, or a 502 of our own, was written into the stream of the first. Change: once a part of the stream is out, a failure breaks the connection; a stream without event ids is not resumed. Test: nothing_follows_in_a_stream_that_cannot_go_on (second runner answers 500; resets), failed before, passes.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -133,7 +133,7 @@
                 }
                 Some(self.give_up("runners reject it", RETRY_FULL).await)
             }
-            Attempt::Cut if self.may_repeat() => {
+            Attempt::Cut if self.events.last_id().is_some() && self.may_repeat() => {
                 record!(
                     Event::StreamResumed,
                     request = self.job.caller.request,
@@ -165,6 +165,9 @@
     }
 
     async fn fail(&mut self, answer: Option<Box<(ResponseHead, Vec<u8>)>>) -> Ending {
+        if self.caller.is_started() {
+            return Ending::Cut;
+        }
         let sent = match answer {
             Some(answer) => self.caller.whole(&answer.0, &answer.1).await,
             None => self.caller.reply(&Reply::text(502, "the runner gave no usable answer\n")).await,
@@ -174,10 +177,7 @@
 
     /// Ends a request that no runner is running: refused if none can have run it.
     async fn give_up(&mut self, reason: &str, later: Duration) -> Ending {
-        if self.caller.is_started() {
-            return Ending::Cut;
-        }
-        if self.runs > 0 {
+        if self.caller.is_started() || self.runs > 0 {
             return self.fail(None).await;
         }
         self.refuse(reason, later).await
