Count streams that a crash breaks; leave missing runners while other keys fail

Cause: (1) a request that crashes its runner after the first event was never condemned, for only answers that broke before their head counted (found by reading the diff). (2) A runner's missing entry could wait for as long as calls for other keys kept failing. Ruled out for (1): silence (a slow runner does not crash; it has its own error now).

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -80,10 +80,8 @@
         let Ok(name) = name.parse::<RunnerName>() else {
             return;
         };
-        self.health.missing(name.clone(), self.gate.now());
-        if !self.health.is_recovering(self.gate.now()) {
-            drop_missing(self.gate, self.health);
-        }
+        self.health.missing(name, self.gate.now());
+        drop_missing(self.gate, self.health);
     }
 
     fn seen(&self, name: &str, value: &[u8]) {
--- a/crates/gateway/src/discovery/store_health.rs
+++ b/crates/gateway/src/discovery/store_health.rs
@@ -47,7 +47,7 @@
     }
 
     /// Whether entries that lapsed may still return.
-    pub fn is_recovering(&self, now: Millis) -> bool {
+    fn is_recovering(&self, now: Millis) -> bool {
         let state = self.state();
         state.is_away || state.returned.is_some_and(|returned| now.since(returned) < RETURN_TIME)
     }
@@ -62,11 +62,19 @@
         self.state().missing.remove(name);
     }
 
-    /// The runners that are gone for good.
+    /// The runners that are gone for good: missing while the store answers, and not about to return.
     pub fn take_missing(&self, now: Millis) -> Vec<RunnerName> {
-        if self.is_recovering(now) {
+        let is_recovering = self.is_recovering(now);
+        let mut state = self.state();
+        if state.is_away {
             return Vec::new();
         }
-        self.state().missing.drain().map(|(name, _)| name).collect()
+        let is_gone = |noted: Millis| !is_recovering || now.since(noted) >= RETURN_TIME;
+        let gone: Vec<RunnerName> =
+            state.missing.iter().filter(|(_, noted)| is_gone(**noted)).map(|(name, _)| name.clone()).collect();
+        gone.iter().for_each(|name| {
+            state.missing.remove(name);
+        });
+        gone
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -74,6 +74,7 @@
     caller: &'a Caller,
     /// The request.
     pub job: Job,
+    content: u64,
     head: Option<ResponseHead>,
     events: EventStream,
     /// Runners that may have run it.
@@ -86,13 +87,13 @@
     /// A request that was not sent anywhere yet.
     pub fn new(gate: &'a Gate<D>, caller: &'a Caller, job: Job) -> Forwarder<'a, D> {
         let events = EventStream::default();
-        Forwarder { gate, caller, job, head: None, events, runs: 0, unreached: 0, rejections: 0 }
+        let content = job.content();
+        Forwarder { gate, caller, job, content, head: None, events, runs: 0, unreached: 0, rejections: 0 }
     }
 
     /// Carries the request until the caller has an answer.
     pub async fn run(&mut self) -> Ending {
-        let content = self.job.content();
-        if self.gate.crashes().is_condemned(content) {
+        if self.gate.crashes().is_condemned(self.content) {
             return self.refuse("it crashed runners", RETRY_MUCH_LATER).await;
         }
         self.gate.retries().first(&self.job.service, self.gate.now());
@@ -103,7 +104,7 @@
                 Choice::Nobody => return self.give_up("no runner takes it", RETRY_LATER).await,
             };
             self.log_placement(&placement);
-            let attempt = self.attempt(&placement, content).await;
+            let attempt = self.attempt(&placement).await;
             if let Some(ending) = self.conclude(attempt, &placement).await {
                 return ending;
             }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -79,7 +79,7 @@
 
 impl<D: Dialect> Forwarder<'_, D> {
     /// Sends the request to the placement's runner and passes the answer on.
-    pub(super) async fn attempt(&mut self, placement: &Placement, content: u64) -> Attempt {
+    pub(super) async fn attempt(&mut self, placement: &Placement) -> Attempt {
         let Some(mut inbound) = self.connection(placement).await else {
             return Attempt::Unreached;
         };
@@ -101,7 +101,12 @@
         let head = or(write, self.answer_head(&mut inbound)).await;
         let (head, reply) = match head {
             Ok(answer) => answer,
-            Err(failure) => return self.no_answer(failure, placement, content),
+            Err(failure) => {
+                if matches!(failure, HeadFailure::Broke) {
+                    self.note_crash(placement);
+                }
+                return Attempt::Failed(None);
+            }
         };
         self.gate.fleet().answered(placement.key);
         let is_reusable = written.load(Ordering::Relaxed);
@@ -120,7 +125,7 @@
         }
         if head.is_success() && self.job.route.kind == RouteKind::Streaming {
             let keep = keep_time(&head);
-            let attempt = self.relay(head, length, &mut inbound, &mut under_way).await;
+            let attempt = self.relay(placement, head, length, &mut inbound, &mut under_way).await;
             if matches!(attempt, Attempt::Whole) && is_reusable && length != BodyLength::UntilClose {
                 self.keep_connection(placement, inbound, keep);
             }
@@ -240,12 +245,12 @@
         Some(span.max(LEAST_ATTEMPT))
     }
 
-    fn no_answer(&self, failure: HeadFailure, placement: &Placement, content: u64) -> Attempt {
-        if matches!(failure, HeadFailure::Broke) && !self.job.body.is_empty() {
+    /// Notes that the runner broke off; a request without a body is the same for many callers and is not suspected.
+    pub(super) fn note_crash(&self, placement: &Placement) {
+        if !self.job.body.is_empty() {
             let runner = runner_hash(&placement.record.name, placement.record.started_at);
-            self.gate.crashes().note(Crash { content, runner }, true, self.gate.now());
+            self.gate.crashes().note(Crash { content: self.content, runner }, true, self.gate.now());
         }
-        Attempt::Failed(None)
     }
 
     /// The request as this runner gets it.
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -8,6 +8,7 @@
 use super::attempt::Attempt;
 use super::under_way::UnderWay;
 use crate::dialect::Dialect;
+use crate::fleet::Placement;
 use crate::http::{BodyError, BodyLength, BodyReader, Inbound, ResponseHead};
 
 /// A stream that may go on elsewhere is given up after so many of its longest pauses, but not before
@@ -21,6 +22,7 @@
     /// Passes the stream on until it ends or breaks.
     pub(super) async fn relay(
         &mut self,
+        placement: &Placement,
         head: ResponseHead,
         length: BodyLength,
         inbound: &mut Inbound,
@@ -33,7 +35,12 @@
             match self.next_bytes(&mut reader, inbound).await {
                 Ok(true) => {}
                 Ok(false) => break,
-                Err(_) => return self.broken(),
+                Err(error) => {
+                    if matches!(error, BodyError::CutShort) {
+                        self.note_crash(placement);
+                    }
+                    return self.broken();
+                }
             }
             under_way.prompt_read();
             if !self.events.take_events(&mut piece) {
@@ -60,7 +67,7 @@
         };
         or(reader.next(inbound, self.events.input()), async {
             Timer::after(silence.into()).await;
-            Err(BodyError::CutShort)
+            Err(BodyError::Silent)
         })
         .await
     }
--- a/crates/gateway/src/http/body_reader.rs
+++ b/crates/gateway/src/http/body_reader.rs
@@ -12,6 +12,8 @@
     CutShort,
     /// The framing is wrong.
     Framing,
+    /// Nothing arrived for too long.
+    Silent,
 }
 
 impl fmt::Display for BodyError {
@@ -19,6 +21,7 @@
         f.write_str(match self {
             BodyError::CutShort => "the body was cut short",
             BodyError::Framing => "the body's framing is wrong",
+            BodyError::Silent => "the body stopped arriving",
         })
     }
 }
