Never refuse urgent prompts for a runner's pressure

Ruled out: preemption (none there). Change: only priorities from 2 on are refused for pressure, or kept from reading a large part twice. Test: an_engine_that_is_asked_to_read_without_pause... failed before for priority 1.

--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -5,11 +5,11 @@
 
 use teaselcroft_parts::{Millis, ModelName};
 
-use super::admission::has_place;
+use super::admission::{has_place, is_lesser};
 use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
 use super::{Ask, Fleet, Load, READ_TOKENS_PER_MS, RunnerKey};
-use crate::{Priority, Prompt, RunnerRecord};
+use crate::{Prompt, RunnerRecord};
 
 /// What one more request in a batch adds to the wait of the others, in milliseconds.
 const REQUEST_MS: f64 = 2.0;
@@ -128,7 +128,7 @@
         let interactive = self.interactive_bound(ask.service);
         let seed = chains.first().map_or(0, |chain| chain.hash);
         let is_read_soon = candidates.iter().any(|(key, _)| held.readers.contains(key));
-        let may_repeat = ask.priority == Priority(0) || !is_read_soon;
+        let may_repeat = !is_lesser(ask.priority) || !is_read_soon;
         let mut ranked = candidates;
         ranked.retain(|(_, state)| has_place(state.load(), state.record.slots, ask.priority));
         ranked.sort_by_key(|(_, state)| mix(seed, state.hash));
@@ -153,7 +153,8 @@
         let options = options.filter(|(_, again, _)| may_repeat || *again < LARGE_PART);
         let (_, _, best) = options.min_by(|one, other| one.0.total_cmp(&other.0))?;
         // The next best runner would read more for the same request: under pressure that only spreads it.
-        self.runners[best.key].pressure.admits(ask.priority, now).then_some(best)
+        let is_admitted = !is_lesser(ask.priority) || self.runners[best.key].pressure.admits_lesser(now);
+        is_admitted.then_some(best)
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
--- a/crates/gateway/src/fleet/pressure.rs
+++ b/crates/gateway/src/fleet/pressure.rs
@@ -7,17 +7,13 @@
 use teaselcroft_parts::Millis;
 
 use super::READ_TOKENS_PER_MS;
-use crate::Priority;
 
 /// The part of an engine's time that reading may take for long.
 const READING_SHARE: f64 = 0.6;
 
-/// The pressure up to which a request of the least urgent kinds is admitted: such a burst is read in so long.
+/// The pressure up to which a lesser request is admitted: such a burst is read in so long.
 const MOST_PRESSURE: Millis = Millis(1_000);
 
-/// The same for requests one step below the most urgent.
-const MOST_PRESSURE_URGENT: Millis = Millis(3_000);
-
 /// Tokens that a runner was given to read and that have not drained yet.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Pressure {
@@ -33,18 +29,13 @@
     }
 
     /// How long all that was given would take to drain.
-    pub fn drain_time(&self, now: Millis) -> f64 {
+    fn drain_time(&self, now: Millis) -> f64 {
         self.tokens_at(now) / (READ_TOKENS_PER_MS * READING_SHARE)
     }
 
-    /// Whether a request of this priority is admitted; the most urgent ones always are.
-    pub fn admits(&self, priority: Priority, now: Millis) -> bool {
-        let most = match priority.0 {
-            0 => return true,
-            1 => MOST_PRESSURE_URGENT,
-            _ => MOST_PRESSURE,
-        };
-        self.drain_time(now) <= most.0 as f64
+    /// Whether a lesser request is admitted.
+    pub fn admits_lesser(&self, now: Millis) -> bool {
+        self.drain_time(now) <= MOST_PRESSURE.0 as f64
     }
 
     fn tokens_at(&self, now: Millis) -> f64 {
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -254,8 +254,9 @@
     assert!(admitted(0.5, 2) > 0.99, "what leaves the streams their time is admitted");
     let lesser = admitted(2.0, 2);
     assert!((0.3..=0.4).contains(&lesser), "six tenths of what it reads, and the first burst: {lesser}");
-    assert!(admitted(2.0, 1) > lesser);
-    assert!(admitted(2.0, 0) > 0.99);
+    for urgent in [0, 1] {
+        assert!(admitted(2.0, urgent) > 0.99, "no urgent request is refused while lesser ones are admitted");
+    }
 }
 
 #[test]
