Let patient requests give way to pressure, not lower priorities alone

Ruled out: relative ranks (customers mix kinds under one priority). Change: requests with a target under a second, and the first priority, are never refused for pressure; patient ones are, beyond 1 s of it, or 3 s for the second priority.

--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -5,7 +5,7 @@
 
 use teaselcroft_parts::{Millis, ModelName};
 
-use super::admission::{has_place, is_lesser};
+use super::admission::{has_place, most_pressure};
 use super::cache_map::shared_chains;
 use super::runner_state::RunnerState;
 use super::{Ask, Fleet, Load, READ_TOKENS_PER_MS, RunnerKey};
@@ -128,9 +128,10 @@
         let interactive = self.interactive_bound(ask.service);
         let seed = chains.first().map_or(0, |chain| chain.hash);
         let is_read_soon = candidates.iter().any(|(key, _)| held.readers.contains(key));
-        let may_repeat = !is_lesser(ask.priority) || !is_read_soon;
+        let most_pressure = most_pressure(ask.priority, ask.target);
+        let may_repeat = most_pressure.is_none() || !is_read_soon;
         let mut ranked = candidates;
-        ranked.retain(|(_, state)| has_place(state.load(), state.record.slots, ask.priority));
+        ranked.retain(|(_, state)| has_place(state.load(), state.record.slots, most_pressure.is_some()));
         ranked.sort_by_key(|(_, state)| mix(seed, state.hash));
         let option = |(rank, (key, state)): (usize, (RunnerKey, &RunnerState))| {
             let cached = self.caches.cached_tokens(&chains, key, now);
@@ -153,8 +154,8 @@
         let options = options.filter(|(_, again, _)| may_repeat || *again < LARGE_PART);
         let (_, _, best) = options.min_by(|one, other| one.0.total_cmp(&other.0))?;
         // The next best runner would read more for the same request: under pressure that only spreads it.
-        let is_admitted = !is_lesser(ask.priority) || self.runners[best.key].pressure.admits_lesser(now);
-        is_admitted.then_some(best)
+        let pressure = self.runners[best.key].pressure.drain_time(now);
+        most_pressure.is_none_or(|most| pressure <= most).then_some(best)
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
--- a/crates/gateway/src/fleet/pressure.rs
+++ b/crates/gateway/src/fleet/pressure.rs
@@ -11,9 +11,6 @@
 /// The part of an engine's time that reading may take for long.
 const READING_SHARE: f64 = 0.6;
 
-/// The pressure up to which a lesser request is admitted: such a burst is read in so long.
-const MOST_PRESSURE: Millis = Millis(1_000);
-
 /// Tokens that a runner was given to read and that have not drained yet.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Pressure {
@@ -29,13 +26,8 @@
     }
 
     /// How long all that was given would take to drain.
-    fn drain_time(&self, now: Millis) -> f64 {
-        self.tokens_at(now) / (READ_TOKENS_PER_MS * READING_SHARE)
-    }
-
-    /// Whether a lesser request is admitted.
-    pub fn admits_lesser(&self, now: Millis) -> bool {
-        self.drain_time(now) <= MOST_PRESSURE.0 as f64
+    pub fn drain_time(&self, now: Millis) -> Millis {
+        Millis((self.tokens_at(now) / (READ_TOKENS_PER_MS * READING_SHARE)) as u64)
     }
 
     fn tokens_at(&self, now: Millis) -> f64 {
