Count callers' bodies against their memory while they arrive

Cause: a body was counted once whole; the check while reading compared each one by itself with the room left, so many half-read bodies were unbounded together. Ruled out: the limit on one body (413) and the time for a body (408): both hold, neither bounds the sum. Change: each request holds a share of the memory for bodies that grows as bytes arrive and is given back when dropped. Before: 60 callers with 95 kB of a body each before a daemon of 16 MB (4 MB for bodies): none refused, all 408 after 10 s. After: those beyond 4 MB get 503 at once, the others are read on, and the memory is free once they leave (test half_read_bodies_share_the_memory_for_bodies, failed first).

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,7 +1,6 @@
 //! Serves callers' connections.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -9,6 +8,7 @@
 use futures_lite::future::or;
 use teaselcroft_parts::Millis;
 
+use crate::body_memory::BodyShare;
 use crate::caller::Caller;
 use crate::dialect::Dialect;
 use crate::forward::{Ending, Forwarder};
@@ -110,29 +110,25 @@
 ) -> bool {
     let arrived = gate.now();
     gate.enter();
-    let body = read_body(gate, inbound, &head, limits).await;
+    let mut share = gate.bodies.share();
+    let body = read_body(&mut share, inbound, &head, limits).await;
     let keep_alive = head.keeps_alive() && !gate.is_stopping() && body.is_ok();
     let caller = Caller::new(inbound.socket().clone(), keep_alive, head.is_http11);
     let prepared = body.and_then(|body| prepare(gate, head, body, arrived));
     let ending = match prepared {
-        Ok(job) => {
-            let size = job.body.len() as u64;
-            gate.body_bytes.fetch_add(size, Ordering::Relaxed);
-            let ending = carry(gate, inbound, &caller, job).await;
-            gate.body_bytes.fetch_sub(size, Ordering::Relaxed);
-            ending
-        }
+        Ok(job) => carry(gate, inbound, &caller, job).await,
         Err(Some(reply)) => caller.reply(&reply).await.map_or(Ending::CallerLeft, |()| Ending::Refused),
         Err(None) => Ending::CallerLeft,
     };
+    drop(share);
     gate.leave();
     let is_complete = !matches!(ending, Ending::Cut | Ending::CallerLeft);
     is_complete && caller.keep_alive()
 }
 
 /// Reads a request's body; the error is the answer to give, or `None` if the caller is gone.
-async fn read_body<D: Dialect>(
-    gate: &Gate<D>,
+async fn read_body(
+    share: &mut BodyShare<'_>,
     inbound: &mut Inbound,
     head: &RequestHead,
     limits: &CallerLimits,
@@ -152,7 +148,7 @@
             if body.len() > limits.body_bytes {
                 return Err(Some(Reply::text(413, "the body is too large\n")));
             }
-            if !gate.has_room(body.len() as u64) {
+            if !share.grow_to(body.len() as u64) {
                 return Err(Some(Reply {
                     retry_after: Some(RETRY_START),
                     ..Reply::text(503, "not run; out of memory\n")
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,12 +1,13 @@
 //! What every task of a gateway daemon shares.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use teaselcroft_parts::Millis;
 
+use crate::body_memory::BodyMemory;
 use crate::connection_pool::ConnectionPool;
 use crate::crash_ledger::CrashLedger;
 use crate::dialect::Dialect;
@@ -48,8 +49,8 @@
     pub placer: Placer,
     /// Counters.
     pub metrics: Metrics,
-    /// Bytes of callers' bodies in memory.
-    pub body_bytes: AtomicU64,
+    /// Memory for callers' bodies.
+    pub bodies: BodyMemory,
     /// Requests being served.
     in_flight: AtomicUsize,
     configuration: RwLock<Option<InForce>>,
@@ -95,7 +96,7 @@
             crashes: Mutex::default(),
             placer: Placer::default(),
             metrics: Metrics::default(),
-            body_bytes: AtomicU64::new(0),
+            bodies: BodyMemory::new(settings.memory_mb * 1_000_000 / BODY_MEMORY_SHARE),
             in_flight: AtomicUsize::new(0),
             configuration: RwLock::new(None),
             stop_began: OnceLock::new(),
@@ -243,12 +244,6 @@
         // Nothing is ever sent: the channel closes when the stop begins.
         let _closed = self.stop.recv().await;
     }
-
-    /// Whether a body of `bytes` fits the memory for bodies.
-    pub fn has_room(&self, bytes: u64) -> bool {
-        let most = self.settings.memory_mb * 1_000_000 / BODY_MEMORY_SHARE;
-        self.body_bytes.load(Ordering::Relaxed) + bytes <= most
-    }
 }
 
 /// A number that rises with each start of a VM's daemon, as long as its time of day does.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! The gateway holds decisions, state and recovery; a [`Dialect`] and a [`store::Store`] connect it to one
 //! platform's names and wire formats.
 
+mod body_memory;
 mod caller;
 mod configuration;
 mod connection_pool;
