Hold runners whose entries lapse together, and date word of their leaving

Leases ran out meanwhile; on the store's return the watch brought 21 removals at 7.009 s and every runner was forgotten at once. The runners registered again from 7.2 s on, but heartbeats still carried word of their leaving for two seconds and put each of them out again until its entry changed. 503 from 7.0 s to 9.3 s, and again at 25 s. Ruled out: the store's answers (correct), placing (no runner was known), the hold after a noticed outage (works). Change: most of a service vanishing together is held for drain_ms less 0.7 s, a few runners for 0.3 s so that the others can be seen; removals of one answer are judged together. Word of a leaving carries the store's revision and does not count once the entry was seen at a later one. bounds.drain_ms comes from the platform's settings.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -29,6 +29,9 @@
 /// A planned stop lasts at least so long, for callers keep addresses a while.
 const SHORTEST_STOP: Millis = Millis(2_500);
 
+/// A runner whose entry vanished is given up so long before it may end: news of it can take that long.
+const DRAIN_MARGIN: Millis = Millis(700);
+
 /// The time between looks at whether all requests have ended.
 const STOP_LOOK: Millis = Millis(50);
 
@@ -63,7 +66,8 @@
 
         let control = Arc::new(Executor::new());
         let traffic = Arc::new(Executor::new());
-        let health = Arc::new(StoreHealth::default());
+        let hold = settings.bounds.drain_ms.since(DRAIN_MARGIN);
+        let health = Arc::new(StoreHealth::new(hold));
         control.spawn(follow_configuration(gate.clone(), store.clone(), health.clone())).detach();
         control.spawn(follow_runners(gate.clone(), store.clone(), health.clone())).detach();
         control.spawn(list_members(gate.clone(), store.clone())).detach();
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Keeps what the store says in force: the configuration, the runners, the other daemons, this daemon's entry.
 
 mod follow;
+mod missing_runners;
 mod store_health;
 
 use std::collections::HashSet;
@@ -8,14 +9,15 @@
 
 use async_io::Timer;
 use prost::Message;
-use teaselcroft_parts::{Millis, RunnerName};
+use teaselcroft_parts::{Millis, ModelName, RunnerName};
 
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::heartbeat::MemberRecord;
-use crate::store::{Change, LeaseId, Store, StoreError};
+use crate::store::{Change, Changes, LeaseId, Revision, Store, StoreError};
 use crate::{Event, record};
 use follow::{Follower, follow};
+pub use missing_runners::MissingRunners;
 pub use store_health::StoreHealth;
 
 /// Where daemons register themselves.
@@ -51,15 +53,16 @@
 }
 
 impl<D: Dialect> Follower for ConfigurationFollower<'_, D> {
-    fn listed(&mut self, changes: Vec<Change>) {
-        changes.into_iter().for_each(|change| self.changed(change));
+    fn listed(&mut self, list: Changes) {
+        self.changed(list.changes);
     }
 
-    fn changed(&mut self, change: Change) {
-        let Some(value) = change.value.filter(|_| change.key == self.key) else {
-            return;
-        };
-        self.gate.apply_configuration(value, "store");
+    fn changed(&mut self, changes: Vec<Change>) {
+        for change in changes.into_iter().filter(|change| change.key == self.key) {
+            if let Some(value) = change.value {
+                self.gate.apply_configuration(value, "store");
+            }
+        }
     }
 }
 
@@ -76,61 +79,69 @@
 }
 
 impl<D: Dialect> RunnerFollower<'_, D> {
-    fn lost(&self, name: &str) {
+    fn lost(&self, name: &str, revision: Revision) {
         let Ok(name) = name.parse::<RunnerName>() else {
             return;
         };
-        self.health.missing(name, self.gate.now());
-        drop_missing(self.gate, self.health);
+        let known = self.gate.fleet().find(&name);
+        if let Some((_, record, _)) = known {
+            self.health.missing(name, record.service.clone(), revision, self.gate.now());
+        }
     }
 
-    fn seen(&self, name: &str, value: &[u8]) {
+    fn seen(&self, name: &str, value: &[u8], revision: Revision) {
         match self.gate.dialect.runner(name, value) {
             Ok(runner) => {
                 self.health.present(&runner.name);
                 let line = (runner.name.clone(), runner.service.clone(), runner.address, runner.is_ready);
-                if self.gate.fleet().seen(runner) {
+                let is_news = self.gate.fleet().seen(runner, revision);
+                if is_news {
                     if !line.3 {
-                        self.gate.fleet().note_left(&line.0, self.gate.now());
+                        self.gate.fleet().note_left(&line.0, revision, self.gate.now());
                     }
                     record!(Event::RunnerSeen, runner = line.0, service = line.1, address = line.2, ready = line.3);
                 }
             }
             Err(error) => {
                 record!(Event::EntryIgnored, key = name, reason = error, source = "store");
-                self.lost(name);
+                self.lost(name, revision);
             }
         }
     }
 }
 
 impl<D: Dialect> Follower for RunnerFollower<'_, D> {
-    fn listed(&mut self, changes: Vec<Change>) {
-        let listed: HashSet<String> = changes.iter().map(|change| change.key.clone()).collect();
+    fn listed(&mut self, list: Changes) {
+        let listed: HashSet<String> = list.changes.iter().map(|change| change.key.clone()).collect();
         let known = self.gate.fleet().names();
         for name in known.iter().filter(|name| !listed.contains(&format!("{}{name}", self.prefix))) {
-            self.lost(name.as_str());
+            self.lost(name.as_str(), list.revision);
         }
-        changes.into_iter().for_each(|change| self.changed(change));
+        self.changed(list.changes);
     }
 
-    fn changed(&mut self, change: Change) {
-        let Some(name) = change.key.strip_prefix(self.prefix) else {
-            return;
-        };
-        match change.value {
-            Some(value) => self.seen(name, &value),
-            None => self.lost(name),
+    fn changed(&mut self, changes: Vec<Change>) {
+        for change in changes {
+            let Some(name) = change.key.strip_prefix(self.prefix) else {
+                continue;
+            };
+            match change.value {
+                Some(value) => self.seen(name, &value, change.revision),
+                None => self.lost(name, change.revision),
+            }
         }
+        drop_missing(self.gate, self.health);
         self.gate.metrics.runners.set(i64::try_from(self.gate.fleet().ready_count()).unwrap_or(i64::MAX));
     }
 }
 
 /// Forgets runners whose entries are missing and will not return.
 pub fn drop_missing<D: Dialect>(gate: &Gate<D>, health: &StoreHealth) {
-    for name in health.take_missing(gate.now()) {
-        gate.fleet().note_left(&name, gate.now());
-        if let Some(key) = gate.fleet().gone(&name) {
+    let known = |service: &ModelName| gate.fleet().count_of(service);
+    for (name, revision) in health.take_gone(known, gate.now()) {
+        gate.fleet().note_left(&name, revision, gate.now());
+        let key = gate.fleet().gone(&name);
+        if let Some(key) = key {
             gate.pool().forget(key);
             record!(Event::RunnerLeft, runner = name, source = "store");
         }
--- a/crates/gateway/src/discovery/follow.rs
+++ b/crates/gateway/src/discovery/follow.rs
@@ -30,10 +30,10 @@
 /// Takes in what the store says.
 pub(super) trait Follower {
     /// Everything under the prefix.
-    fn listed(&mut self, changes: Vec<Change>);
+    fn listed(&mut self, list: Changes);
 
-    /// One change.
-    fn changed(&mut self, change: Change);
+    /// Changes that came together, oldest first.
+    fn changed(&mut self, changes: Vec<Change>);
 }
 
 /// Follows the keys that begin with `prefix` for good.
@@ -56,14 +56,14 @@
         match result {
             Ok(changes) => {
                 health.answered(gate.now());
-                if after.is_none() {
-                    follower.listed(changes.changes);
-                    wait = FIRST_WATCH_TIME;
-                } else {
+                let is_change = after.replace(changes.revision).is_some();
+                if is_change {
                     wait = WATCH_TIME;
-                    changes.changes.into_iter().for_each(|change| follower.changed(change));
+                    follower.changed(changes.changes);
+                } else {
+                    wait = FIRST_WATCH_TIME;
+                    follower.listed(changes);
                 }
-                let is_change = after.replace(changes.revision).is_some();
                 pause = FIRST_PAUSE;
                 if is_change {
                     Timer::after(GATHER_TIME.into()).await;
--- a/crates/gateway/src/discovery/store_health.rs
+++ b/crates/gateway/src/discovery/store_health.rs
@@ -1,28 +1,33 @@
 //! Whether the store answers, and which runners' entries lapsed while it did not.
 
-use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use teaselcroft_parts::{Millis, RunnerName};
+use teaselcroft_parts::{Millis, ModelName, RunnerName};
 
-use super::RETURN_TIME;
-use crate::store::StoreError;
+use super::{MissingRunners, RETURN_TIME};
+use crate::store::{Revision, StoreError};
 use crate::{Event, record};
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     is_away: bool,
     returned: Option<Millis>,
-    missing: HashMap<RunnerName, Millis>,
+    missing: MissingRunners,
 }
 
 /// Whether the store answers, and which runners' entries lapsed while it did not.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StoreHealth {
     state: Mutex<State>,
 }
 
 impl StoreHealth {
+    /// The store is taken to answer; runners whose entries may have lapsed are held for `hold`.
+    pub fn new(hold: Millis) -> StoreHealth {
+        let state = State { is_away: false, returned: None, missing: MissingRunners::new(hold) };
+        StoreHealth { state: Mutex::new(state) }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -46,35 +51,24 @@
         }
     }
 
-    /// Whether entries that lapsed may still return.
-    fn is_recovering(&self, now: Millis) -> bool {
-        let state = self.state();
-        state.is_away || state.returned.is_some_and(|returned| now.since(returned) < RETURN_TIME)
-    }
-
     /// Notes that a runner's entry is missing.
-    pub fn missing(&self, name: RunnerName, now: Millis) {
-        self.state().missing.entry(name).or_insert(now);
+    pub fn missing(&self, name: RunnerName, service: ModelName, revision: Revision, now: Millis) {
+        self.state().missing.note(name, service, revision, now);
     }
 
     /// Notes that a runner's entry is there.
     pub fn present(&self, name: &RunnerName) {
-        self.state().missing.remove(name);
+        self.state().missing.present(name);
     }
 
-    /// The runners that are gone for good: missing while the store answers, and not about to return.
-    pub fn take_missing(&self, now: Millis) -> Vec<RunnerName> {
-        let is_recovering = self.is_recovering(now);
+    /// The runners that are gone for good: missing while the store answers, and not about to return. `known` counts
+    /// a service's runners.
+    pub fn take_gone(&self, known: impl Fn(&ModelName) -> usize, now: Millis) -> Vec<(RunnerName, Revision)> {
         let mut state = self.state();
         if state.is_away {
             return Vec::new();
         }
-        let is_gone = |noted: Millis| !is_recovering || now.since(noted) >= RETURN_TIME;
-        let gone: Vec<RunnerName> =
-            state.missing.iter().filter(|(_, noted)| is_gone(**noted)).map(|(name, _)| name.clone()).collect();
-        gone.iter().for_each(|name| {
-            state.missing.remove(name);
-        });
-        gone
+        let is_recovering = state.returned.is_some_and(|returned| now.since(returned) < RETURN_TIME);
+        state.missing.take_gone(is_recovering, known, now)
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -17,7 +17,8 @@
 
 use crate::Prompt;
 use crate::RunnerRecord;
-use crate::heartbeat::{CacheNews, RunnerLoad};
+use crate::heartbeat::{CacheNews, RunnerLeft, RunnerLoad};
+use crate::store::Revision;
 
 pub use ask::Ask;
 use cache_map::{CacheMap, shared_chains};
@@ -67,7 +68,7 @@
     changed: bool,
     caches: CacheMap,
     news: Vec<(Millis, CacheNews)>,
-    left: Vec<(Millis, u64)>,
+    left: Vec<(Millis, RunnerLeft)>,
 }
 
 /// The hash by which daemons name one start of a runner to each other.
@@ -92,22 +93,24 @@
         }
     }
 
-    /// Takes in a runner's entry; true if it is new, changed or started again.
-    pub fn seen(&mut self, record: RunnerRecord) -> bool {
+    /// Takes in a runner's entry as the store had it at `revision`; true if it is new, changed or started again.
+    pub fn seen(&mut self, record: RunnerRecord, revision: Revision) -> bool {
         if let Some(key) = self.names.get(&record.name).copied() {
-            let known = &self.runners[key].record;
+            let state = &mut self.runners[key];
+            state.revision = state.revision.max(revision);
+            let known = &state.record;
             if **known == record {
                 return false;
             }
             if known.started_at == record.started_at && known.address == record.address {
-                self.runners[key].record = record.into();
+                state.record = record.into();
                 return true;
             }
             self.gone(&record.name);
         }
         let hash = runner_hash(&record.name, record.started_at);
         let (name, service) = (record.name.clone(), record.service.clone());
-        let key = self.runners.insert(RunnerState::new(record, hash));
+        let key = self.runners.insert(RunnerState::new(record, hash, revision));
         self.names.insert(name, key);
         self.hashes.insert(hash, key);
         self.services.entry(service).or_default().push(key);
@@ -126,23 +129,24 @@
         Some(key)
     }
 
-    /// Remembers to tell peers that a runner is leaving or gone.
-    pub fn note_left(&mut self, name: &RunnerName, now: Millis) {
+    /// Remembers to tell peers that a runner is leaving or gone, as the store had it at `revision`.
+    pub fn note_left(&mut self, name: &RunnerName, revision: Revision, now: Millis) {
         if let Some(state) = self.names.get(name).and_then(|key| self.runners.get(*key)) {
-            self.left.push((now, state.hash));
+            self.left.push((now, RunnerLeft { runner: state.hash, revision: revision.0 }));
         }
     }
 
-    /// Hashes of runners that lately left, for heartbeats.
-    pub fn left_news(&mut self, now: Millis) -> Vec<u64> {
+    /// Runners that lately left, for heartbeats.
+    pub fn left_news(&mut self, now: Millis) -> Vec<RunnerLeft> {
         self.left.retain(|(at, _)| now.since(*at) < LEFT_TOLD);
-        self.left.iter().map(|(_, hash)| *hash).collect()
+        self.left.iter().map(|(_, news)| *news).collect()
     }
 
-    /// Stops sending new requests to the runner with this hash, as a peer read in the store.
-    pub fn leaving(&mut self, hash: u64) -> Option<RunnerName> {
-        let state = self.runners.get_mut(*self.hashes.get(&hash)?)?;
-        if !state.record.is_ready {
+    /// Stops sending new requests to a runner that left, as a peer read in the store, unless its entry was seen
+    /// after that.
+    pub fn leaving(&mut self, news: RunnerLeft) -> Option<RunnerName> {
+        let state = self.runners.get_mut(*self.hashes.get(&news.runner)?)?;
+        if !state.record.is_ready || Revision(news.revision) < state.revision {
             return None;
         }
         let record = RunnerRecord { is_ready: false, ..(*state.record).clone() };
@@ -155,6 +159,11 @@
         self.names.keys().cloned().collect()
     }
 
+    /// The number of a service's known runners.
+    pub fn count_of(&self, service: &ModelName) -> usize {
+        self.services.get(service).map_or(0, Vec::len)
+    }
+
     /// The number of runners that take requests.
     pub fn ready_count(&self) -> usize {
         self.runners.values().filter(|state| state.record.is_ready).count()
--- a/crates/gateway/src/fleet/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -7,12 +7,15 @@
 use super::Load;
 use super::pressure::Pressure;
 use crate::RunnerRecord;
+use crate::store::Revision;
 
 /// A known runner.
 #[derive(Debug)]
 pub(super) struct RunnerState {
     /// What its entry says.
     pub record: Arc<RunnerRecord>,
+    /// When the store had that entry.
+    pub revision: Revision,
     /// The hash of its name.
     pub hash: u64,
     /// What this daemon sent it.
@@ -28,9 +31,10 @@
 }
 
 impl RunnerState {
-    pub fn new(record: RunnerRecord, hash: u64) -> RunnerState {
+    pub fn new(record: RunnerRecord, hash: u64, revision: Revision) -> RunnerState {
         RunnerState {
             record: record.into(),
+            revision,
             hash,
             mine: Load::default(),
             others: Load::default(),
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -83,6 +83,17 @@
     pub runner: u64,
 }
 
+/// A runner that is leaving or gone.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct RunnerLeft {
+    /// A hash of the runner's name and start.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// The store's revision that says so.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+}
+
 /// What a daemon tells the others, several times a second.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Heartbeat {
@@ -98,9 +109,9 @@
     /// Crashes that it saw lately.
     #[prost(message, repeated, tag = "4")]
     pub crashes: Vec<Crash>,
-    /// Hashes of runners that the store lately said are leaving or gone.
-    #[prost(fixed64, repeated, tag = "5")]
-    pub gone: Vec<u64>,
+    /// Runners that the store lately said are leaving or gone.
+    #[prost(message, repeated, tag = "8")]
+    pub gone: Vec<RunnerLeft>,
     /// Prompt beginnings that it lately sent to runners.
     #[prost(message, repeated, tag = "7")]
     pub caches: Vec<CacheNews>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub use crash_ledger::CrashLedger;
 pub use daemon::GatewayDaemon;
 pub use dialect::{CallerFields, Dialect, RunnerFields, RunnerReply};
+pub use discovery::MissingRunners;
 pub use event::Event;
 pub use events_stream::EventStream;
 pub use prompt::{Prompt, PromptPart};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -160,7 +160,7 @@
         let mut fleet = gate.fleet();
         fleet.peer_loads(&name, None, heartbeat.loads, now);
         fleet.peer_caches(&heartbeat.caches, now);
-        for runner in heartbeat.gone.iter().filter_map(|hash| fleet.leaving(*hash)) {
+        for runner in heartbeat.gone.iter().filter_map(|news| fleet.leaving(*news)) {
             record!(Event::RunnerLeft, runner = runner, source = name);
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
-use teaselcroft_parts::{DaemonName, ZoneName};
+use teaselcroft_parts::{DaemonName, Millis, ZoneName};
 
 use crate::Seconds;
 
@@ -57,6 +57,8 @@
     pub grace: Seconds,
     /// How long callers may keep an address answer.
     pub addresses: Seconds,
+    /// How long a runner whose entry was removed still serves.
+    pub drain_ms: Millis,
     /// Retries allowed as a share of first attempts, in all daemons together.
     pub retry_ratio: f64,
     /// The window in which retries are counted.
@@ -70,6 +72,7 @@
         Bounds {
             grace: Seconds(8.0),
             addresses: Seconds(2.0),
+            drain_ms: Millis(2_000),
             retry_ratio: 0.2,
             retry_window: Seconds(10.0),
             retry_slack: 50.0,
@@ -121,6 +124,7 @@
             ("cpu_share", self.cpu_share, 0.01, 1e4),
             ("bounds.grace", self.bounds.grace.0, 0.5, 3_600.0),
             ("bounds.addresses", self.bounds.addresses.0, 0.1, 3_600.0),
+            ("bounds.drain_ms", self.bounds.drain_ms.0 as f64, 100.0, 3_600_000.0),
             ("bounds.retry_ratio", self.bounds.retry_ratio, 0.0, 10.0),
             ("bounds.retry_window", self.bounds.retry_window.0, 0.1, 3_600.0),
             ("bounds.retry_slack", self.bounds.retry_slack, 0.0, 1e6),
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -6,6 +6,7 @@
 
 use teaselcroft_gateway::fleet::{Ask, Choice, Fleet, Placement, runner_hash};
 use teaselcroft_gateway::heartbeat::RunnerLoad;
+use teaselcroft_gateway::store::Revision;
 use teaselcroft_gateway::{Priority, Prompt, PromptPart, RunnerRecord};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
 
@@ -34,7 +35,7 @@
 
 fn fleet(runners: usize) -> Fleet {
     let mut fleet = Fleet::new(zone("fayon"));
-    (0..runners).for_each(|number| assert!(fleet.seen(runner(number, "fayon", 64))));
+    (0..runners).for_each(|number| assert!(fleet.seen(runner(number, "fayon", 64), Revision(1))));
     fleet
 }
 
@@ -178,24 +179,37 @@
     let (mut one, mut two) = (fleet(1), fleet(1));
     let name: RunnerName = "i-0".parse().unwrap();
 
-    one.note_left(&name, Millis(0));
+    one.note_left(&name, Revision(2), Millis(0));
     let news = one.left_news(Millis(100));
-    news.iter().for_each(|hash| assert!(two.leaving(*hash).is_some()));
+    news.iter().for_each(|left| assert!(two.leaving(*left).is_some()));
 
     assert!(choose(&two, &prompt(7, 100, 100), PAUSE_PATIENT, Millis(100)).is_none());
-    assert!(two.seen(RunnerRecord { started_at: 2, ..runner(0, "fayon", 64) }));
-    news.iter().for_each(|hash| assert!(two.leaving(*hash).is_none()));
+    assert!(two.seen(RunnerRecord { started_at: 2, ..runner(0, "fayon", 64) }, Revision(3)));
+    news.iter().for_each(|left| assert!(two.leaving(*left).is_none()));
     assert!(choose(&two, &prompt(7, 100, 100), PAUSE_PATIENT, Millis(100)).is_some());
     assert!(one.left_news(Millis(9_000)).is_empty());
 }
 
+#[test]
+fn old_word_of_a_runner_that_left_does_not_outlive_its_entrys_return() {
+    let (mut one, mut two) = (fleet(1), fleet(1));
+    let name: RunnerName = "i-0".parse().unwrap();
+    one.note_left(&name, Revision(5), Millis(0));
+    let news = one.left_news(Millis(100));
+
+    assert!(!two.seen(runner(0, "fayon", 64), Revision(6)), "nothing but the entry's revision is new");
+    news.iter().for_each(|left| assert!(two.leaving(*left).is_none()));
+
+    assert!(choose(&two, &prompt(7, 100, 100), PAUSE_PATIENT, Millis(100)).is_some());
+}
+
 #[test]
 fn a_runner_that_started_again_has_an_empty_cache() {
     let mut fleet = fleet(3);
     let home = send(&mut fleet, &prompt(7, 13_300, 100), PAUSE_PATIENT, Millis(0));
     fleet.end(home.key);
 
-    assert!(fleet.seen(RunnerRecord { started_at: 2, ..(*home.record).clone() }));
+    assert!(fleet.seen(RunnerRecord { started_at: 2, ..(*home.record).clone() }, Revision(2)));
 
     let next = choose(&fleet, &prompt(7, 13_300, 100), PAUSE_PATIENT, Millis(50)).unwrap();
     assert_eq!((next.reading, next.fetch_from), (13_400, None));
@@ -205,7 +219,7 @@
 fn plain_requests_go_to_the_least_occupied_runner_and_rather_stay_in_their_zone() {
     let mut fleet = Fleet::new(zone("fayon"));
     [(0, "caspe"), (1, "fayon"), (2, "caspe")].into_iter().for_each(|(number, zone_name)| {
-        fleet.seen(runner(number, zone_name, 6));
+        fleet.seen(runner(number, zone_name, 6), Revision(1));
     });
     let service = service();
     let (priority, target) = (Priority(2), Millis(300));
