Let two daemons of a zone read the store, and send fewer heartbeats between zones

Cause: every daemon listed and watched all runners. Peers with heartbeats every 3 s were taken to be dead after 1 s: 8,591 lines of PeerLost from eleven daemons. Found by a random schedule of the new test: a list against a reader's older revision hid a runner that came and went; such news is a gap now (a_list_against_an_older_revision_than_the_listeners_is_a_gap, failed first). In one commit, since the parts share their messages.

--- a/crates/gateway/src/crash_ledger.rs
+++ b/crates/gateway/src/crash_ledger.rs
@@ -12,7 +12,7 @@
 /// How long a crash is remembered.
 const REMEMBERED: Millis = Millis(60_000);
 
-/// How long a crash is told to peers; several heartbeats, since datagrams get lost.
+/// How long a crash is told to peers at least; several heartbeats, since datagrams get lost.
 const TOLD: Millis = Millis(3_000);
 
 /// Requests remembered at most.
@@ -45,9 +45,15 @@
         self.contents.get(&content).is_some_and(|crashes| crashes.len() >= MOST_CRASHES)
     }
 
-    /// The crashes to tell peers of.
-    pub fn news(&self, now: Millis) -> Vec<Crash> {
-        let fresh = |(crash, at, is_own): &(Crash, Millis, bool)| (*is_own && now.since(*at) < TOLD).then_some(*crash);
+    /// Whether one more crash condemns a request, so that peers should know at once.
+    pub fn is_suspect(&self, content: u64) -> bool {
+        self.contents.get(&content).is_some_and(|crashes| crashes.len() + 1 >= MOST_CRASHES)
+    }
+
+    /// The crashes to tell peers of, who are sent news every `period`.
+    pub fn news(&self, period: Millis, now: Millis) -> Vec<Crash> {
+        let told = Millis(period.0 * 2).max(TOLD);
+        let fresh = |(crash, at, is_own): &(Crash, Millis, bool)| (*is_own && now.since(*at) < told).then_some(*crash);
         self.contents.values().flatten().filter_map(fresh).collect()
     }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 
 use async_io::{Async, Timer};
 use error_stack::{Report, ResultExt};
+use prost::Message;
 use smol::Executor;
 use teaselcroft_parts::Millis;
 
@@ -16,7 +17,7 @@
 use crate::front::serve_caller;
 use crate::gate::Gate;
 use crate::http::{Inbound, Reply, RequestHead};
-use crate::peers::{CONFIGURATION_PATH, hear_peers, send_heartbeats};
+use crate::peers::{CONFIGURATION_PATH, RUNNERS_PATH, hear_peers, send_heartbeats};
 use crate::placer::report_loads;
 use crate::run::RunError;
 use crate::small_server::{accept, listen, serve};
@@ -69,7 +70,7 @@
         let hold = settings.bounds.drain_ms.since(DRAIN_MARGIN);
         let health = Arc::new(StoreHealth::new(hold));
         control.spawn(follow_configuration(gate.clone(), store.clone(), health.clone())).detach();
-        control.spawn(follow_runners(gate.clone(), store.clone(), health.clone())).detach();
+        control.spawn(follow_runners(gate.clone(), store.clone(), health.clone(), hold)).detach();
         control.spawn(list_members(gate.clone(), store.clone())).detach();
         control.spawn(stay_registered(gate.clone(), store.clone(), lease.clone())).detach();
         control.spawn(send_heartbeats(gate.clone(), socket.clone())).detach();
@@ -155,9 +156,17 @@
 }
 
 fn answer_peer<D: Dialect>(gate: &Gate<D>, head: &RequestHead) -> Reply {
-    match gate.raw_configuration().filter(|_| head.path() == CONFIGURATION_PATH) {
-        Some(raw) => Reply { media_type: "application/json", body: raw.to_vec(), ..Reply::text(200, "") },
-        None => Reply::text(404, "no configuration\n"),
+    let (media_type, body) = match head.path() {
+        CONFIGURATION_PATH => ("application/json", gate.raw_configuration().map(|raw| raw.to_vec())),
+        RUNNERS_PATH => {
+            let list = gate.runner_index().list();
+            ("application/x-protobuf", list.map(|list| list.encode_to_vec()))
+        }
+        _ => return Reply::text(404, "no such path\n"),
+    };
+    match body {
+        Some(body) => Reply { media_type, body, ..Reply::text(200, "") },
+        None => Reply::text(404, "not known yet\n"),
     }
 }
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -2,22 +2,25 @@
 
 mod follow;
 mod missing_runners;
+mod runner_index;
+mod runners;
 mod store_health;
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use async_io::Timer;
 use prost::Message;
-use teaselcroft_parts::{Millis, ModelName, RunnerName};
+use teaselcroft_parts::Millis;
 
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::heartbeat::MemberRecord;
-use crate::store::{Change, Changes, LeaseId, Revision, Store, StoreError};
+use crate::store::{Change, LeaseId, Store, StoreError};
 use crate::{Event, record};
-use follow::{Follower, follow};
+use follow::{Follower, Said, WATCH_TIME};
 pub use missing_runners::MissingRunners;
+pub use runner_index::{RunnerIndex, Taken, news_of};
+pub use runners::{drop_missing, follow_runners};
 pub use store_health::StoreHealth;
 
 /// Where daemons register themselves.
@@ -35,115 +38,40 @@
 /// The time between lists while nobody else is known.
 const MEMBERS_FIRST_TIME: Millis = Millis(600);
 
-/// The pause after a call that the store did not answer.
+/// The time between looks at whether readers of the store still tell this daemon of new configurations.
+const TOLD_LOOK: Millis = Millis(150);
+
+/// The first pause after a registration that failed; it doubles up to `LONGEST_RETRY`.
 const RETRY_TIME: Millis = Millis(400);
 
+/// The longest pause between registrations; peers know this daemon by its heartbeats meanwhile.
+const LONGEST_RETRY: Millis = Millis(3_200);
+
 /// Entries of runners lapse while the store is away and return so soon after it; the users state two seconds.
 const RETURN_TIME: Millis = Millis(2_200);
 
 /// Follows the configuration for good.
 pub async fn follow_configuration<D: Dialect, S: Store>(gate: Arc<Gate<D>>, store: Arc<S>, health: Arc<StoreHealth>) {
     let key = gate.dialect.configuration_key();
-    follow(&*store, key, &health, &gate, &mut ConfigurationFollower { gate: &gate, key }).await;
-}
-
-struct ConfigurationFollower<'a, D> {
-    gate: &'a Gate<D>,
-    key: &'static str,
-}
-
-impl<D: Dialect> Follower for ConfigurationFollower<'_, D> {
-    fn listed(&mut self, list: Changes) {
-        self.changed(list.changes);
-    }
-
-    fn changed(&mut self, changes: Vec<Change>) {
-        for change in changes.into_iter().filter(|change| change.key == self.key) {
-            if let Some(value) = change.value {
-                self.gate.apply_configuration(value, "store");
-            }
-        }
-    }
-}
-
-/// Follows the runners for good.
-pub async fn follow_runners<D: Dialect, S: Store>(gate: Arc<Gate<D>>, store: Arc<S>, health: Arc<StoreHealth>) {
-    let prefix = gate.dialect.runner_prefix();
-    follow(&*store, prefix, &health, &gate, &mut RunnerFollower { gate: &gate, prefix, health: &health }).await;
-}
-
-struct RunnerFollower<'a, D> {
-    gate: &'a Arc<Gate<D>>,
-    prefix: &'static str,
-    health: &'a Arc<StoreHealth>,
-}
-
-impl<D: Dialect> RunnerFollower<'_, D> {
-    fn lost(&self, name: &str, revision: Revision) {
-        let Ok(name) = name.parse::<RunnerName>() else {
-            return;
-        };
-        let known = self.gate.fleet().find(&name);
-        if let Some((_, record, _)) = known {
-            self.health.missing(name, record.service.clone(), revision, self.gate.now());
-        }
-    }
-
-    fn seen(&self, name: &str, value: &[u8], revision: Revision) {
-        match self.gate.dialect.runner(name, value) {
-            Ok(runner) => {
-                self.health.present(&runner.name);
-                let line = (runner.name.clone(), runner.service.clone(), runner.address, runner.is_ready);
-                let is_news = self.gate.fleet().seen(runner, revision);
-                if is_news {
-                    if !line.3 {
-                        self.gate.fleet().note_left(&line.0, revision, self.gate.now());
-                    }
-                    record!(Event::RunnerSeen, runner = line.0, service = line.1, address = line.2, ready = line.3);
-                }
-            }
-            Err(error) => {
-                record!(Event::EntryIgnored, key = name, reason = error, source = "store");
-                self.lost(name, revision);
-            }
-        }
-    }
-}
-
-impl<D: Dialect> Follower for RunnerFollower<'_, D> {
-    fn listed(&mut self, list: Changes) {
-        let listed: HashSet<String> = list.changes.iter().map(|change| change.key.clone()).collect();
-        let known = self.gate.fleet().names();
-        for name in known.iter().filter(|name| !listed.contains(&format!("{}{name}", self.prefix))) {
-            self.lost(name.as_str(), list.revision);
+    let mut follower = Follower::new(&*store, key, &health, &gate);
+    loop {
+        // A listener's runners show when the store is back: they are asked for all the while.
+        let waits = gate.is_told() || gate.is_listener() && health.is_away();
+        if waits {
+            Timer::after(TOLD_LOOK.into()).await;
+            continue;
         }
-        self.changed(list.changes);
-    }
-
-    fn changed(&mut self, changes: Vec<Change>) {
-        for change in changes {
-            let Some(name) = change.key.strip_prefix(self.prefix) else {
+        let changes = match follower.next(WATCH_TIME).await {
+            Ok(Said::List(changes) | Said::Since(_, changes)) => changes,
+            Err(pause) => {
+                Timer::after(pause.into()).await;
                 continue;
-            };
-            match change.value {
-                Some(value) => self.seen(name, &value, change.revision),
-                None => self.lost(name, change.revision),
             }
-        }
-        drop_missing(self.gate, self.health);
-        self.gate.metrics.runners.set(i64::try_from(self.gate.fleet().ready_count()).unwrap_or(i64::MAX));
-    }
-}
-
-/// Forgets runners whose entries are missing and will not return.
-pub fn drop_missing<D: Dialect>(gate: &Gate<D>, health: &StoreHealth) {
-    let known = |service: &ModelName| gate.fleet().count_of(service);
-    for (name, revision) in health.take_gone(known, gate.now()) {
-        gate.fleet().note_left(&name, revision, gate.now());
-        let key = gate.fleet().gone(&name);
-        if let Some(key) = key {
-            gate.pool().forget(key);
-            record!(Event::RunnerLeft, runner = name, source = "store");
+        };
+        for change in changes.changes.into_iter().filter(|change| change.key == key) {
+            if let Some(value) = change.value {
+                gate.apply_configuration(value, "store");
+            }
         }
     }
 }
@@ -185,15 +113,18 @@
     store: Arc<S>,
     lease: Arc<std::sync::Mutex<Option<LeaseId>>>,
 ) {
+    let mut pause = RETRY_TIME;
     loop {
         match register(&gate, &*store).await {
             Ok(granted) => {
+                pause = RETRY_TIME;
                 *lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(granted);
                 renew(&*store, granted).await;
             }
             Err(error) => {
                 log::debug!("this daemon could not register: {error}");
-                Timer::after(RETRY_TIME.into()).await;
+                Timer::after(Millis(pause.0 / 2 + fastrand::u64(0..=pause.0)).into()).await;
+                pause = Millis((pause.0 * 2).min(LONGEST_RETRY.0));
             }
         }
     }
--- a/crates/gateway/src/discovery/follow.rs
+++ b/crates/gateway/src/discovery/follow.rs
@@ -7,17 +7,20 @@
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::metrics::StoreLabels;
-use crate::store::{Change, Changes, Revision, Store, StoreError};
+use crate::store::{Changes, Revision, Store, StoreError};
 use crate::{Event, record};
 
 /// How long one watch waits for changes.
-const WATCH_TIME: Millis = Millis(25_000);
+pub(super) const WATCH_TIME: Millis = Millis(25_000);
 
 /// How long the first watch after a list waits: whatever a store that just recovered did not tell it is asked
 /// for again soon.
 const FIRST_WATCH_TIME: Millis = Millis(1_500);
 
-/// The pause after a change, so that one call brings the changes that come close together; far below the two
+/// A watch that only asks what has changed.
+pub(super) const NO_WAIT: Millis = Millis(1);
+
+/// The pause after a watch, so that one call brings the changes that come close together; far below the two
 /// seconds in which a change must be in force.
 const GATHER_TIME: Millis = Millis(200);
 
@@ -27,58 +30,73 @@
 /// The longest pause between calls while the store is away.
 const LONGEST_PAUSE: Millis = Millis(600);
 
-/// Takes in what the store says.
-pub(super) trait Follower {
+/// What the store says.
+pub(super) enum Said {
     /// Everything under the prefix.
-    fn listed(&mut self, list: Changes);
-
-    /// Changes that came together, oldest first.
-    fn changed(&mut self, changes: Vec<Change>);
+    List(Changes),
+    /// The changes after a revision.
+    Since(Revision, Changes),
 }
 
-/// Follows the keys that begin with `prefix` for good.
-pub(super) async fn follow<D: Dialect, S: Store, F: Follower>(
-    store: &S,
+/// Follows the keys that begin with a prefix.
+pub(super) struct Follower<'a, D, S> {
+    store: &'a S,
     prefix: &'static str,
-    health: &StoreHealth,
-    gate: &Gate<D>,
-    follower: &mut F,
-) {
-    let mut after: Option<Revision> = None;
-    let mut wait = FIRST_WATCH_TIME;
-    let mut pause = FIRST_PAUSE;
-    loop {
-        let result = match after {
-            None => store.list(prefix).await,
-            Some(revision) => store.watch(prefix, revision, wait).await,
+    health: &'a StoreHealth,
+    gate: &'a Gate<D>,
+    /// The revision up to which everything is known, or `None` if a list is needed.
+    pub after: Option<Revision>,
+    wait: Millis,
+    pause: Millis,
+    gathers: bool,
+}
+
+impl<'a, D: Dialect, S: Store> Follower<'a, D, S> {
+    pub fn new(store: &'a S, prefix: &'static str, health: &'a StoreHealth, gate: &'a Gate<D>) -> Follower<'a, D, S> {
+        let (wait, pause) = (FIRST_WATCH_TIME, FIRST_PAUSE);
+        Follower { store, prefix, health, gate, after: None, wait, pause, gathers: false }
+    }
+
+    /// What the store says next, waiting up to `longest` for a change.
+    ///
+    /// # Errors
+    ///
+    /// The call failed; the next one is due after the pause that is returned.
+    pub async fn next(&mut self, longest: Millis) -> Result<Said, Millis> {
+        if std::mem::take(&mut self.gathers) {
+            Timer::after(GATHER_TIME.min(longest).into()).await;
+        }
+        let (call, result) = match self.after {
+            None => ("list", self.store.list(self.prefix).await),
+            Some(after) => ("watch", self.store.watch(self.prefix, after, self.wait.min(longest)).await),
         };
-        count(gate, if after.is_none() { "list" } else { "watch" }, &result);
+        count(self.gate, call, &result);
         match result {
             Ok(changes) => {
-                health.answered(gate.now());
-                let is_change = after.replace(changes.revision).is_some();
-                if is_change {
-                    wait = WATCH_TIME;
-                    follower.changed(changes.changes);
-                } else {
-                    wait = FIRST_WATCH_TIME;
-                    follower.listed(changes);
-                }
-                pause = FIRST_PAUSE;
-                if is_change {
-                    Timer::after(GATHER_TIME.into()).await;
-                }
+                self.health.answered(self.gate.now());
+                self.pause = FIRST_PAUSE;
+                let before = self.after.replace(changes.revision);
+                self.wait = if before.is_some() { WATCH_TIME } else { FIRST_WATCH_TIME };
+                self.gathers = before.is_some();
+                Ok(match before {
+                    Some(after) => Said::Since(after, changes),
+                    None => Said::List(changes),
+                })
             }
             Err(StoreError::Compacted) => {
-                record!(Event::HistoryLost, prefix = prefix, after = after.unwrap_or_default());
-                after = None;
+                record!(Event::HistoryLost, prefix = self.prefix, after = self.after.unwrap_or_default());
+                self.after = None;
+                Err(Millis(0))
             }
             Err(error) => {
                 // A store in trouble may leave a watch waiting that it should have answered: list anew.
-                after = None;
-                health.failed(prefix, error, gate.now());
-                Timer::after(Millis(pause.0 / 2 + fastrand::u64(0..=pause.0)).into()).await;
-                pause = Millis((pause.0 * 2).min(LONGEST_PAUSE.0));
+                if longest > NO_WAIT {
+                    self.after = None;
+                }
+                self.health.failed(self.prefix, error, self.gate.now());
+                let spread = self.pause.0 / 2 + fastrand::u64(0..=self.pause.0);
+                self.pause = Millis((self.pause.0 * 2).min(LONGEST_PAUSE.0));
+                Err(Millis(spread))
             }
         }
     }
--- a/crates/gateway/src/discovery/store_health.rs
+++ b/crates/gateway/src/discovery/store_health.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Whether the last call got no usable answer.
+    pub fn is_away(&self) -> bool {
+        self.state().is_away
+    }
+
     /// Notes that a runner's entry is missing.
     pub fn missing(&self, name: RunnerName, service: ModelName, revision: Revision, now: Millis) {
         self.state().missing.note(name, service, revision, now);
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -27,6 +27,8 @@
     PeerLost = 621;
     /// The placing daemon left questions unanswered; this one places by itself for a while.
     PlacingAlone = 622;
+    /// This daemon's part in reading the store changed: it reads, reads for others, or listens to those that do.
+    ReaderRole = 623;
     /// A configuration came into force.
     ConfigApplied = 630;
     /// A runner registered, changed or registered again.
@@ -35,6 +37,8 @@
     RunnerLeft = 641;
     /// A runner is avoided for a while, because it refused or broke connections.
     RunnerAvoided = 642;
+    /// The runners were listed for the first time.
+    RunnersListed = 643;
     /// A request was sent to a runner.
     Placed = 650;
     /// A runner's answer cannot be used, or it gave none.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -50,7 +50,7 @@
 /// Prompt tokens that an engine reads in a millisecond, for estimates.
 const READ_TOKENS_PER_MS: f64 = 50.0;
 
-/// How long peers are told that a runner left; several heartbeats, since datagrams get lost.
+/// How long peers are told at least that a runner left; several heartbeats, since datagrams get lost.
 const LEFT_TOLD: Millis = Millis(2_000);
 
 /// Beginnings in one heartbeat at most.
@@ -136,9 +136,10 @@
         }
     }
 
-    /// Runners that lately left, for heartbeats.
-    pub fn left_news(&mut self, now: Millis) -> Vec<RunnerLeft> {
-        self.left.retain(|(at, _)| now.since(*at) < LEFT_TOLD);
+    /// Runners that lately left, for peers that are sent news every `period`.
+    pub fn left_news(&mut self, period: Millis, now: Millis) -> Vec<RunnerLeft> {
+        let told = Millis(period.0 * 2).max(LEFT_TOLD);
+        self.left.retain(|(at, _)| now.since(*at) < told);
         self.left.iter().map(|(_, news)| *news).collect()
     }
 
@@ -164,9 +165,9 @@
         self.services.get(service).map_or(0, Vec::len)
     }
 
-    /// The number of runners that take requests.
-    pub fn ready_count(&self) -> usize {
-        self.runners.values().filter(|state| state.record.is_ready).count()
+    /// The number of known runners, and of those that take requests.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.runners.len(), self.runners.values().filter(|state| state.record.is_ready).count())
     }
 
     /// Counts a request that is sent to a runner.
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -250,6 +250,10 @@
         if !self.job.body.is_empty() {
             let runner = runner_hash(&placement.record.name, placement.record.started_at);
             self.gate.crashes().note(Crash { content: self.content, runner }, true, self.gate.now());
+            let is_suspect = self.gate.crashes().is_suspect(self.content);
+            if is_suspect {
+                self.gate.tell_peers_now();
+            }
         }
     }
 
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -1,5 +1,6 @@
 //! What every task of a gateway daemon shares.
 
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::Instant;
@@ -11,12 +12,14 @@
 use crate::connection_pool::ConnectionPool;
 use crate::crash_ledger::CrashLedger;
 use crate::dialect::Dialect;
+use crate::discovery::RunnerIndex;
 use crate::fleet::Fleet;
 use crate::heartbeat::{MemberRecord, Phase};
 use crate::metrics::Metrics;
 use crate::placer::Placer;
 use crate::retry_ledger::RetryLedger;
-use crate::roster::Roster;
+use crate::roster::{ReaderRole, Roster, peer_address};
+use crate::runner_news::RunnerNews;
 use crate::{Configuration, Event, Settings, record};
 
 /// The share of the VM's memory that callers' buffered bodies may take, as a divisor.
@@ -41,6 +44,13 @@
     pool: Mutex<ConnectionPool>,
     /// The known daemons.
     roster: Mutex<Roster>,
+    /// The runners' entries as the store has them.
+    runner_index: Mutex<RunnerIndex>,
+    is_told: AtomicBool,
+    urgent_sender: Sender<()>,
+    urgent: Receiver<()>,
+    news_sender: Sender<RunnerNews>,
+    news: Receiver<RunnerNews>,
     /// Second sends against their budget.
     retries: Mutex<RetryLedger>,
     /// Requests that crash runners.
@@ -61,6 +71,9 @@
     start: Instant,
 }
 
+/// News of peers that wait to be taken in.
+const MOST_NEWS: usize = 64;
+
 /// A planned stop ends so long before the platform would kill the process.
 const STOP_MARGIN: Millis = Millis(350);
 
@@ -85,13 +98,22 @@
             phase: Phase::Starting.into(),
             cpu_milli: (settings.cpu_share * 1_000.0) as u32,
             is_settled: false,
+            period_ms: 0,
         };
         let (stop_sender, stop) = async_channel::bounded(1);
+        let (urgent_sender, urgent) = async_channel::bounded(1);
+        let (news_sender, news) = async_channel::bounded(MOST_NEWS);
         Gate {
             dialect,
             fleet: Mutex::new(Fleet::new(settings.zone.clone())),
             pool: Mutex::default(),
             roster: Mutex::new(Roster::new(me)),
+            runner_index: Mutex::default(),
+            is_told: AtomicBool::new(false),
+            urgent_sender,
+            urgent,
+            news_sender,
+            news,
             retries: Mutex::new(RetryLedger::new(settings.bounds.clone())),
             crashes: Mutex::default(),
             placer: Placer::default(),
@@ -128,6 +150,65 @@
         lock(&self.roster)
     }
 
+    /// The runners' entries as the store has them.
+    pub fn runner_index(&self) -> MutexGuard<'_, RunnerIndex> {
+        lock(&self.runner_index)
+    }
+
+    /// Sends the next heartbeats now, to all peers.
+    pub fn tell_peers_now(&self) {
+        // One that waits already is enough.
+        let _asked = self.urgent_sender.try_send(());
+    }
+
+    /// Waits until the next heartbeats are wanted now.
+    pub async fn urgent_news(&self) {
+        // The sender lives as long as the gate.
+        let _asked = self.urgent.recv().await;
+    }
+
+    /// Whether peers that read the store tell this daemon of new configurations.
+    pub fn is_told(&self) -> bool {
+        self.is_told.load(Ordering::Relaxed)
+    }
+
+    /// Whether peers read the store for this daemon.
+    pub fn is_listener(&self) -> bool {
+        let now = self.now();
+        self.roster().reader_role(now) == ReaderRole::Listener
+    }
+
+    /// Notes whether peers that read the store speak up.
+    pub fn set_told(&self, is_told: bool) {
+        self.is_told.store(is_told, Ordering::Relaxed);
+    }
+
+    /// Takes in what a peer hands on; what does not fit is missed and noticed as such.
+    pub fn hear_news(&self, news: RunnerNews) {
+        if self.news_sender.try_send(news).is_err() {
+            log::debug!("news of runners was dropped: too much is waiting");
+        }
+    }
+
+    /// Waits for what peers hand on.
+    pub async fn next_news(&self) -> Option<RunnerNews> {
+        self.news.recv().await.ok()
+    }
+
+    /// Where the other daemons of this zone are.
+    pub fn zone_mates(&self) -> Vec<IpAddr> {
+        let now = self.now();
+        self.roster().zone_mates(now).iter().filter_map(|mate| mate.ip.parse().ok()).collect()
+    }
+
+    /// Where the daemons are asked that read the store for this zone.
+    pub fn reader_addresses(&self) -> Vec<SocketAddr> {
+        let now = self.now();
+        let roster = self.roster();
+        let readers = roster.zone_readers(now);
+        readers.into_iter().filter(|member| member.name != roster.me.name).filter_map(peer_address).collect()
+    }
+
     /// Second sends against their budget.
     pub fn retries(&self) -> MutexGuard<'_, RetryLedger> {
         lock(&self.retries)
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -1,5 +1,7 @@
 //! What daemons tell each other: one datagram at a time.
 
+use crate::runner_news::RunnerNews;
+
 /// The state of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
@@ -42,6 +44,9 @@
     /// Whether it has run long enough to know what runners have in their caches.
     #[prost(bool, tag = "9")]
     pub is_settled: bool,
+    /// The time between its heartbeats, in milliseconds.
+    #[prost(uint32, tag = "10")]
+    pub period_ms: u32,
 }
 
 /// One daemon's use of a runner.
@@ -210,13 +215,16 @@
     /// Counts for the placing daemon.
     #[prost(message, tag = "4")]
     Report(LoadReport),
+    /// Changes of runners' entries.
+    #[prost(message, tag = "5")]
+    News(RunnerNews),
 }
 
 /// A datagram between daemons.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
     /// What it carries.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5")]
     pub content: Option<Content>,
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,10 +1,11 @@
 //! Heartbeats between daemons, and configurations fetched from peers.
 
-use std::collections::HashSet;
-use std::net::{SocketAddr, UdpSocket};
+use std::collections::{BTreeMap, HashSet};
+use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use async_io::{Async, Timer};
+use futures_lite::future::or;
 use prost::Message;
 use teaselcroft_parts::Millis;
 
@@ -13,6 +14,8 @@
 use crate::heartbeat::{Content, Datagram, Heartbeat, MemberRecord};
 use crate::http_client::HttpClient;
 use crate::placer::answer;
+use crate::roster::{FAR_ROUNDS, peer_address};
+use crate::runner_news::RunnerNews;
 use crate::{ConfigVersion, Event, record};
 
 /// The pause after a datagram that could not be received.
@@ -26,8 +29,8 @@
 /// seven seconds.
 const SETTLED: Millis = Millis(10_000);
 
-/// Members named in one heartbeat, for daemons that lack the store.
-const MEMBERS_TOLD: usize = 1;
+/// Members named to two peers in each round, for daemons that lack the store.
+const MEMBERS_TOLD: usize = 8;
 
 /// The largest heartbeat.
 const MAX_DATAGRAM: usize = 16 * 1024;
@@ -38,25 +41,19 @@
 /// How long a newer configuration may take through the store before it is fetched from the peer that has it.
 const FETCH_DELAY: Millis = Millis(150);
 
+/// The path of the list of runners at a peer.
+pub const RUNNERS_PATH: &str = "/runners";
+
 /// The path of the configuration at a peer.
 pub const CONFIGURATION_PATH: &str = "/configuration";
 
 /// Sends heartbeats for good.
 pub async fn send_heartbeats<D: Dialect>(gate: Arc<Gate<D>>, socket: Arc<Async<UdpSocket>>) {
     let mut last = gate.now();
-    loop {
+    let mut is_urgent = false;
+    for round in 0_usize.. {
         let now = gate.now();
-        let heartbeat = compose(&gate, now);
-        let slim = Heartbeat { loads: Vec::new(), caches: Vec::new(), ..heartbeat.clone() };
-        let full = Datagram::from(Content::Heartbeat(heartbeat)).encode_to_vec();
-        let slim = Datagram::from(Content::Heartbeat(slim)).encode_to_vec();
-        let told = placing_addresses(&gate, now);
-        for target in targets(&gate) {
-            let bytes = if told.contains(&target) { &full } else { &slim };
-            if let Err(error) = socket.send_to(bytes, target).await {
-                log::debug!("a heartbeat to {target} was not sent: {error}");
-            }
-        }
+        send_round(&gate, &socket, round, is_urgent).await;
         let silent = gate.roster().sweep(now, last);
         for name in silent {
             record!(Event::PeerLost, peer = name);
@@ -66,7 +63,69 @@
         gate.metrics.peers.set(i64::try_from(gate.roster().live_count(now)).unwrap_or(i64::MAX));
         last = now;
         let pause = gate.roster().heartbeat_time();
-        Timer::after(pause.into()).await;
+        let turn = async {
+            Timer::after(pause.into()).await;
+            false
+        };
+        let news = async {
+            gate.urgent_news().await;
+            true
+        };
+        is_urgent = or(turn, news).await;
+    }
+}
+
+/// Sends one heartbeat to each peer whose turn it is, or to all if the news is urgent.
+async fn send_round<D: Dialect>(gate: &Gate<D>, socket: &Async<UdpSocket>, round: usize, is_urgent: bool) {
+    let now = gate.now();
+    let far_period = gate.roster().far_period(now);
+    let (heartbeat, mut members) = compose(gate, far_period, now);
+    let encode = |loads: bool, period: Millis, members: Vec<MemberRecord>| {
+        let mut one = Heartbeat { members, ..heartbeat.clone() };
+        if !loads {
+            (one.loads, one.caches) = (Vec::new(), Vec::new());
+        }
+        if let Some(member) = &mut one.member {
+            member.period_ms = u32::try_from(period.0).unwrap_or(u32::MAX);
+        }
+        Datagram::from(Content::Heartbeat(one)).encode_to_vec()
+    };
+    let near_period = gate.roster().heartbeat_time();
+    fastrand::shuffle(&mut members);
+    members.truncate(MEMBERS_TOLD);
+    let full = encode(true, near_period, Vec::new());
+    let (near, far) = (encode(false, near_period, Vec::new()), encode(false, far_period, Vec::new()));
+    let telling = encode(false, far_period, members);
+    let told = placing_addresses(gate, now);
+    let targets = targets(gate);
+    let listeners = [fastrand::usize(..targets.len().max(1)), fastrand::usize(..targets.len().max(1))];
+    for (index, (target, is_near)) in targets.into_iter().enumerate() {
+        let is_due = is_near || is_urgent || far_period == near_period || index % FAR_ROUNDS == round % FAR_ROUNDS;
+        let bytes = match () {
+            () if told.contains(&target) => &full,
+            () if listeners.contains(&index) => &telling,
+            () if !is_due => continue,
+            () if is_near => &near,
+            () => &far,
+        };
+        if let Err(error) = socket.send_to(bytes, target).await {
+            log::debug!("a heartbeat to {target} was not sent: {error}");
+        }
+    }
+}
+
+/// Hands changes of runners' entries on to peers.
+pub async fn send_to_peers<D: Dialect>(gate: &Gate<D>, news: RunnerNews, peers: &[IpAddr]) {
+    let Some(socket) = gate.placer.socket() else {
+        return;
+    };
+    let version = gate.configuration().map_or(0, |configuration| configuration.version.0);
+    let bytes = Datagram::from(Content::News(RunnerNews { version, ..news })).encode_to_vec();
+    for peer in peers {
+        let target = SocketAddr::new(*peer, gate.settings.heartbeat_port);
+        if let Err(error) = socket.send_to(&bytes, target).await {
+            log::debug!("news of runners to {target} was not sent: {error}");
+        }
     }
 }
 
@@ -77,32 +136,33 @@
     placing.filter_map(|member| Some(SocketAddr::new(member.ip.parse().ok()?, gate.settings.heartbeat_port))).collect()
 }
 
-fn targets<D: Dialect>(gate: &Gate<D>) -> Vec<SocketAddr> {
+/// Where heartbeats go, and whether that is in this daemon's zone.
+fn targets<D: Dialect>(gate: &Gate<D>) -> Vec<(SocketAddr, bool)> {
     let port = gate.settings.heartbeat_port;
     let roster = gate.roster();
-    let mut ips: Vec<std::net::IpAddr> = roster.peers().filter_map(|peer| peer.record.ip.parse().ok()).collect();
-    ips.extend(gate.settings.seeds.iter().map(SocketAddr::ip));
-    ips.sort_unstable();
-    ips.dedup();
-    ips.into_iter().filter(|ip| *ip != gate.settings.ip).map(|ip| SocketAddr::new(ip, port)).collect()
+    let is_near = |record: &MemberRecord| record.zone == roster.me.zone;
+    let known = roster.peers().filter_map(|peer| Some((peer.record.ip.parse().ok()?, is_near(&peer.record))));
+    let mut ips: BTreeMap<IpAddr, bool> = gate.settings.seeds.iter().map(|seed| (seed.ip(), true)).collect();
+    ips.extend(known);
+    ips.remove(&gate.settings.ip);
+    ips.into_iter().map(|(ip, is_near)| (SocketAddr::new(ip, port), is_near)).collect()
 }
 
-fn compose<D: Dialect>(gate: &Gate<D>, now: Millis) -> Heartbeat {
-    let (member, mut members) = {
+/// This daemon's heartbeat for peers that get one every `period` at least, and the members that it can name.
+fn compose<D: Dialect>(gate: &Gate<D>, period: Millis, now: Millis) -> (Heartbeat, Vec<MemberRecord>) {
+    let (member, members) = {
         let mut roster = gate.roster();
         roster.me.is_settled = now > SETTLED;
-        (roster.me.clone(), roster.peers().map(|peer| peer.record.clone()).collect::<Vec<MemberRecord>>())
+        (roster.me.clone(), roster.peers().map(|peer| peer.record.clone()).collect())
     };
-    fastrand::shuffle(&mut members);
-    members.truncate(MEMBERS_TOLD);
     // One lock at a time: a guard in the expression below would live until its end.
     let (loads, caches, gone) = {
         let mut fleet = gate.fleet();
-        (fleet.own_loads(now), fleet.cache_news(now), fleet.left_news(now))
+        (fleet.own_loads(now), fleet.cache_news(now), fleet.left_news(period, now))
     };
-    let crashes = gate.crashes().news(now);
+    let crashes = gate.crashes().news(period, now);
     let version = gate.configuration().map_or(0, |configuration| configuration.version.0);
-    Heartbeat { member: Some(member), version, loads, crashes, gone, caches, members }
+    (Heartbeat { member: Some(member), version, loads, crashes, gone, caches, members: Vec::new() }, members)
 }
 
 /// Takes in datagrams of other daemons for good.
@@ -130,6 +190,11 @@
                 let now = gate.now();
                 gate.fleet().peer_loads(&report.daemon, Some(report.number), report.loads, now);
             }
+            Ok(Some(Content::News(news))) => {
+                let source = SocketAddr::new(from.ip(), gate.settings.peer.port());
+                fetch_newer(&gate, source, news.version, Millis(0), &executor, &fetching);
+                gate.hear_news(news);
+            }
             Ok(None) => log::debug!("a datagram of an unknown kind was ignored"),
             Err(error) => log::debug!("a datagram cannot be read: {error}"),
         }
@@ -146,7 +211,7 @@
     let Some(member) = heartbeat.member else {
         return;
     };
-    let (name, address) = (member.name.clone(), (member.ip.clone(), member.peer_port));
+    let (name, address) = (member.name.clone(), peer_address(&member));
     {
         let mut roster = gate.roster();
         if roster.heard(member, now) {
@@ -167,23 +232,37 @@
     for crash in heartbeat.crashes {
         gate.crashes().note(crash, false, now);
     }
-    if !is_newer(gate, heartbeat.version) {
+    let Some(source) = address else {
+        return;
+    };
+    // The store may bring it first.
+    let delay = gate.configuration().map_or(Millis(0), |_| FETCH_DELAY);
+    fetch_newer(gate, source, heartbeat.version, delay, executor, fetching);
+}
+
+/// Fetches a configuration from a peer if it is newer and not being fetched already.
+fn fetch_newer<D: Dialect>(
+    gate: &Arc<Gate<D>>,
+    source: SocketAddr,
+    version: u64,
+    delay: Millis,
+    executor: &smol::Executor<'static>,
+    fetching: &Arc<Mutex<HashSet<u64>>>,
+) {
+    if !is_newer(gate, version) {
         return;
     }
-    let Ok(ip) = address.0.parse() else {
+    let is_first = fetching.lock().unwrap_or_else(PoisonError::into_inner).insert(version);
+    if !is_first {
         return;
-    };
-    let is_first = fetching.lock().unwrap_or_else(PoisonError::into_inner).insert(heartbeat.version);
-    if is_first {
-        let source = SocketAddr::new(ip, u16::try_from(address.1).unwrap_or(0));
-        let (gate, fetching, version) = (gate.clone(), fetching.clone(), heartbeat.version);
-        executor
-            .spawn(async move {
-                fetch(&gate, source, version, &name).await;
-                fetching.lock().unwrap_or_else(PoisonError::into_inner).remove(&version);
-            })
-            .detach();
     }
+    let (gate, fetching) = (gate.clone(), fetching.clone());
+    let fetching_one = async move {
+        Timer::after(delay.into()).await;
+        fetch(&gate, source, version).await;
+        fetching.lock().unwrap_or_else(PoisonError::into_inner).remove(&version);
+    };
+    executor.spawn(fetching_one).detach();
 }
 
 fn is_newer<D: Dialect>(gate: &Gate<D>, version: u64) -> bool {
@@ -191,17 +270,14 @@
     current.unwrap_or_default() < ConfigVersion(version)
 }
 
-/// Fetches a configuration from a peer unless it arrives through the store first.
-async fn fetch<D: Dialect>(gate: &Gate<D>, source: SocketAddr, version: u64, peer: &str) {
-    if gate.configuration().is_some() {
-        Timer::after(FETCH_DELAY.into()).await;
-    }
+/// Fetches a configuration from a peer unless it arrived through the store.
+async fn fetch<D: Dialect>(gate: &Gate<D>, source: SocketAddr, version: u64) {
     if !is_newer(gate, version) {
         return;
     }
     match HttpClient::new(source).call("GET", CONFIGURATION_PATH, &[], FETCH_TIME).await {
-        Ok(reply) if reply.status == 200 => gate.apply_configuration(reply.body, peer),
-        Ok(reply) => log::debug!("{peer} answered {} instead of its configuration", reply.status),
-        Err(error) => log::debug!("{peer} did not send its configuration: {error}"),
+        Ok(reply) if reply.status == 200 => gate.apply_configuration(reply.body, &source.to_string()),
+        Ok(reply) => log::debug!("{source} answered {} instead of its configuration", reply.status),
+        Err(error) => log::debug!("{source} did not send its configuration: {error}"),
     }
 }
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -54,6 +54,11 @@
         self.socket.get_or_init(|| socket);
     }
 
+    /// The socket for datagrams to other daemons, once it is open.
+    pub fn socket(&self) -> Option<&Async<UdpSocket>> {
+        self.socket.get().map(|socket| &**socket)
+    }
+
     fn pending(&self) -> MutexGuard<'_, Pending> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -21,6 +21,7 @@
         phase: Phase::Ready.into(),
         cpu_milli: 250,
         is_settled: false,
+        period_ms: 120,
     }
 }
 
@@ -75,7 +76,7 @@
 
     assert!(!before, "one runner counts once");
     assert!(ledger.is_condemned(5) && !ledger.is_condemned(6));
-    assert_eq!(ledger.news(Millis(40)), vec![crash(1)], "peers are told what was seen here");
+    assert_eq!(ledger.news(Millis(120), Millis(40)), vec![crash(1)], "peers are told what was seen here");
 }
 
 #[test]
@@ -91,6 +92,17 @@
     assert_eq!(ports(&roster, "none", 9_000), 3, "a daemon that hears nobody names all it knew");
 }
 
+#[test]
+fn a_peer_is_silent_by_the_time_that_it_states_between_heartbeats() {
+    let mut roster = Roster::new(member("a", "fayon", 1));
+    roster.heard(MemberRecord { period_ms: 700, ..member("bb", "fayon", 1) }, Millis(0));
+
+    assert_eq!(roster.sweep(Millis(1_100), Millis(900)), Vec::<String>::new());
+    assert_eq!(roster.live_count(Millis(2_800)), 1);
+    assert_eq!(roster.sweep(Millis(2_900), Millis(2_700)), ["bb"]);
+    assert_eq!(roster.live_count(Millis(2_900)), 0);
+}
+
 #[test]
 fn an_old_incarnation_does_not_replace_a_new_one() {
     let mut roster = Roster::new(member("a", "fayon", 1));
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -180,14 +180,14 @@
     let name: RunnerName = "i-0".parse().unwrap();
 
     one.note_left(&name, Revision(2), Millis(0));
-    let news = one.left_news(Millis(100));
+    let news = one.left_news(Millis(120), Millis(100));
     news.iter().for_each(|left| assert!(two.leaving(*left).is_some()));
 
     assert!(choose(&two, &prompt(7, 100, 100), PAUSE_PATIENT, Millis(100)).is_none());
     assert!(two.seen(RunnerRecord { started_at: 2, ..runner(0, "fayon", 64) }, Revision(3)));
     news.iter().for_each(|left| assert!(two.leaving(*left).is_none()));
     assert!(choose(&two, &prompt(7, 100, 100), PAUSE_PATIENT, Millis(100)).is_some());
-    assert!(one.left_news(Millis(9_000)).is_empty());
+    assert!(one.left_news(Millis(120), Millis(9_000)).is_empty());
 }
 
 #[test]
@@ -195,7 +195,7 @@
     let (mut one, mut two) = (fleet(1), fleet(1));
     let name: RunnerName = "i-0".parse().unwrap();
     one.note_left(&name, Revision(5), Millis(0));
-    let news = one.left_news(Millis(100));
+    let news = one.left_news(Millis(120), Millis(100));
 
     assert!(!two.seen(runner(0, "fayon", 64), Revision(6)), "nothing but the entry's revision is new");
     news.iter().for_each(|left| assert!(two.leaving(*left).is_none()));
--- /dev/null
+++ b/crates/gateway/tests/runner_news.rs
@@ -0,0 +1,226 @@
+//! Readers of the store hand on what they read, and listeners end with what the store holds: random schedules with
+//! lost, late and doubled datagrams, reader deaths and lists that show what watches missed.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use quickcheck::quickcheck;
+use teaselcroft_gateway::heartbeat::MemberRecord;
+use teaselcroft_gateway::runner_news::{RunnerChange, RunnerNews};
+use teaselcroft_gateway::store::Revision;
+use teaselcroft_gateway::{ReaderRole, Roster, RunnerIndex, RunnerRecord, Taken, news_of};
+use teaselcroft_parts::{Millis, RunnerName};
+
+fn name(number: u8) -> RunnerName {
+    format!("i-{number}").parse().unwrap()
+}
+
+fn record(number: u8, is_ready: bool) -> RunnerRecord {
+    RunnerRecord {
+        name: name(number),
+        started_at: 1,
+        service: "engines".parse().unwrap(),
+        address: SocketAddr::from(([10, 0, 0, number], 8_000)),
+        zone: "fayon".parse().unwrap(),
+        slots: 64,
+        is_ready,
+    }
+}
+
+fn change(number: u8, revision: u64, record: Option<RunnerRecord>) -> RunnerChange {
+    RunnerChange { name: name(number), revision: Revision(revision), record }
+}
+
+/// The store of one schedule.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    entries: BTreeMap<u8, (RunnerRecord, u64)>,
+    history: Vec<RunnerChange>,
+}
+
+impl Store {
+    fn write(&mut self, number: u8, what: u8) {
+        self.revision += 1;
+        let record = (!what.is_multiple_of(3)).then(|| record(number, what % 3 == 1));
+        match &record {
+            Some(record) => drop(self.entries.insert(number, (record.clone(), self.revision))),
+            None => drop(self.entries.remove(&number)),
+        }
+        self.history.push(change(number, self.revision, record));
+    }
+
+    fn since(&self, after: Revision) -> Vec<RunnerChange> {
+        self.history.iter().filter(|change| change.revision > after).cloned().collect()
+    }
+
+    fn list(&self) -> Vec<RunnerChange> {
+        self.entries
+            .iter()
+            .map(|(number, (record, revision))| change(*number, *revision, Some(record.clone())))
+            .collect()
+    }
+
+    fn now(&self) -> Revision {
+        Revision(self.revision)
+    }
+}
+
+/// What a reader does once: reads the store, by a watch or by a list, and returns what it hands on.
+fn read(store: &Store, index: &mut RunnerIndex, lists: bool) -> Vec<RunnerNews> {
+    let before = index.revision();
+    match before.filter(|_| !lists) {
+        Some(after) => {
+            let changes = store.since(after);
+            index.apply(&changes, store.now());
+            news_of(after, &changes, store.now(), false)
+        }
+        None => {
+            let changes = index.replace(&store.list(), store.now());
+            before.map(|after| news_of(after, &changes, store.now(), true)).unwrap_or_default()
+        }
+    }
+}
+
+fn held(index: &RunnerIndex) -> RunnerNews {
+    index.list().unwrap()
+}
+
+quickcheck! {
+    fn a_listener_ends_with_what_the_store_holds(steps: Vec<(u8, u8)>) -> bool {
+        let mut store = Store::default();
+        let mut readers = [RunnerIndex::default(), RunnerIndex::default()];
+        let mut listener = RunnerIndex::default();
+        let mut under_way: VecDeque<RunnerNews> = VecDeque::new();
+        let mut last = 0;
+        store.write(1, 1);
+        read(&store, &mut readers[0], true);
+        listener.replace(&store.list(), store.now());
+        for (what, number) in steps {
+            match what % 8 {
+                0..=2 => store.write(number % 6, what),
+                3 | 4 => under_way.extend(read(&store, &mut readers[usize::from(number % 2)], what > 128)),
+                5 => drop(under_way.pop_front()),
+                6 => under_way.rotate_left(usize::from(number) % under_way.len().max(1)),
+                _ => {
+                    if let Some(news) = under_way.pop_front() {
+                        if number > 200 {
+                            under_way.push_back(news.clone());
+                        }
+                        let lists = news.is_listed;
+                        if listener.take_news(news) == Taken::Gap {
+                            read(&store, &mut listener, lists);
+                        }
+                    }
+                }
+            }
+            let now = listener.revision().unwrap().0;
+            if now < last {
+                return false;
+            }
+            last = now;
+        }
+        read(&store, &mut listener, false);
+        let mut fresh = RunnerIndex::default();
+        fresh.replace(&store.list(), store.now());
+        held(&listener) == held(&fresh)
+    }
+}
+
+#[test]
+fn a_list_against_an_older_revision_than_the_listeners_is_a_gap() {
+    let mut reader = RunnerIndex::default();
+    let mut listener = RunnerIndex::default();
+    reader.replace(&[], Revision(1));
+    listener.replace(&[change(1, 2, Some(record(1, true)))], Revision(2));
+
+    let changes = reader.replace(&[], Revision(3));
+    let news = news_of(Revision(1), &changes, Revision(3), true).remove(0);
+
+    assert_eq!(listener.take_news(news), Taken::Gap, "the runner came and went between the reader's lists");
+}
+
+#[test]
+fn news_after_a_lost_datagram_is_a_gap_and_older_news_says_nothing() {
+    let mut index = RunnerIndex::default();
+    index.replace(&[change(1, 4, Some(record(1, true)))], Revision(10));
+    let news = |after, revision, changes: &[RunnerChange]| {
+        news_of(Revision(after), changes, Revision(revision), false).remove(0)
+    };
+
+    assert_eq!(index.take_news(news(12, 13, &[])), Taken::Gap);
+    assert_eq!(index.take_news(news(5, 9, &[change(1, 8, None)])), Taken::Old);
+    let taken = index.take_news(news(8, 12, &[change(1, 9, None), change(2, 11, Some(record(2, true)))]));
+
+    assert_eq!(taken, Taken::New(vec![change(2, 11, Some(record(2, true)))]), "the older change was known");
+    assert_eq!(index.revision(), Some(Revision(12)));
+}
+
+#[test]
+fn a_list_tells_listeners_what_the_watches_missed() {
+    let mut reader = RunnerIndex::default();
+    let mut listener = RunnerIndex::default();
+    for index in [&mut reader, &mut listener] {
+        index.replace(&[change(1, 4, Some(record(1, true))), change(2, 5, Some(record(2, true)))], Revision(10));
+        index.apply(&[], Revision(20));
+    }
+
+    let changes = reader.replace(&[change(2, 15, Some(record(2, false)))], Revision(21));
+    let news = news_of(Revision(20), &changes, Revision(21), true).remove(0);
+
+    let expected = vec![change(1, 21, None), change(2, 15, Some(record(2, false)))];
+    assert_eq!(listener.take_news(news), Taken::New(expected));
+}
+
+#[test]
+fn news_too_large_for_a_datagram_come_in_several_that_follow_each_other() {
+    let mut store = Store::default();
+    (0..=u8::MAX).for_each(|number| store.write(number, 1));
+    let mut index = RunnerIndex::default();
+    index.replace(&[], Revision(0));
+
+    let news = news_of(Revision(0), &store.since(Revision(0)), store.now(), false);
+
+    assert!(news.len() > 1);
+    assert!(news.iter().all(|one| prost::Message::encoded_len(one) < 16 * 1024));
+    for one in news {
+        assert!(matches!(index.take_news(one), Taken::New(_)));
+    }
+    assert_eq!(held(&index).changes.len(), 256);
+}
+
+fn member(number: usize, cpu_milli: u32) -> MemberRecord {
+    MemberRecord {
+        name: format!("entry-{number}"),
+        zone: "fayon".into(),
+        cpu_milli,
+        period_ms: 120,
+        ..MemberRecord::default()
+    }
+}
+
+fn roles(daemons: usize, heard: Millis, now: Millis) -> Vec<ReaderRole> {
+    let roster = |me: usize| {
+        let mut roster = Roster::new(member(me, 250));
+        (0..daemons).filter(|number| *number != me).for_each(|number| {
+            roster.heard(member(number, if number == 3 { 500 } else { 250 }), heard);
+        });
+        roster.reader_role(now)
+    };
+    (0..daemons).map(roster).collect()
+}
+
+#[test]
+fn a_large_zone_has_two_readers_and_a_small_one_reads_for_itself() {
+    for daemons in [1, 2, 4] {
+        assert_eq!(roles(daemons, Millis(0), Millis(100)), vec![ReaderRole::Alone; daemons]);
+    }
+    for daemons in [5, 60, 400] {
+        let listeners =
+            roles(daemons, Millis(0), Millis(100)).iter().filter(|role| **role == ReaderRole::Listener).count();
+        assert!((daemons - 3..daemons).contains(&listeners), "{listeners} of {daemons} listen");
+    }
+    assert_eq!(roles(60, Millis(0), Millis(9_000)), vec![ReaderRole::Alone; 60], "whoever hears nobody reads");
+}
