Wait on at a runner that has much to read

Runners had been given some 200,000 tokens each to read within 4 s. A stream that may be repeated was taken from its runner after twice its target (1.6 s), sent to another one with as much to read, and given up by its caller there. Change: the placing daemon tells the pressure of the runner that it grants, and the wait for the first event is twice the target and that pressure. Runners with little to read are left as soon as before. The burst's first seconds stay the weakest window there: all shared parts are unread.

--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -65,6 +65,8 @@
     pub reading: u32,
     /// What the runner carried when it was chosen.
     pub load: Load,
+    /// How long what the runner was given to read takes to be read.
+    pub pressure: Millis,
     /// Whether the placing daemon chose it, not this one.
     pub is_granted: bool,
 }
@@ -109,6 +111,7 @@
             fetch_from: None,
             reading: 0,
             load: state.load(),
+            pressure: Millis(0),
             is_granted: false,
         })
     }
@@ -148,14 +151,14 @@
                 + RANK_MS * rank.min(RANKED) as f64
                 + if is_on_side { 0.0 } else { SIDE_MS };
             let fetch_from = source.filter(|_| fetched > 0).map(|source| source.record.address);
-            (cost, again, Placement { key, record: state.record.clone(), fetch_from, reading, load, is_granted: false })
+            let (record, pressure) = (state.record.clone(), state.pressure.drain_time(now));
+            (cost, again, Placement { key, record, fetch_from, reading, load, pressure, is_granted: false })
         };
         let options = ranked.into_iter().enumerate().map(option);
         let options = options.filter(|(_, again, _)| may_repeat || *again < LARGE_PART);
         let (_, _, best) = options.min_by(|one, other| one.0.total_cmp(&other.0))?;
         // The next best runner would read more for the same request: under pressure that only spreads it.
-        let pressure = self.runners[best.key].pressure.drain_time(now);
-        most_pressure.is_none_or(|most| pressure <= most).then_some(best)
+        most_pressure.is_none_or(|most| best.pressure <= most).then_some(best)
     }
 
     /// The largest side hash of a runner that is kept for interactive requests.
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -98,7 +98,7 @@
             }
             pending().await
         };
-        let head = or(write, self.answer_head(&mut inbound)).await;
+        let head = or(write, self.answer_head(&mut inbound, placement.pressure)).await;
         let (head, reply) = match head {
             Ok(answer) => answer,
             Err(failure) => {
@@ -195,9 +195,13 @@
     }
 
     /// The head of this request's answer; late answers to other requests are skipped.
-    async fn answer_head(&self, inbound: &mut Inbound) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
+    async fn answer_head(
+        &self,
+        inbound: &mut Inbound,
+        pressure: Millis,
+    ) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
         let reading = self.read_answer_head(inbound);
-        let Some(patience) = self.attempt_time() else {
+        let Some(patience) = self.attempt_time(pressure) else {
             return reading.await;
         };
         or(reading, async {
@@ -231,15 +235,16 @@
         }
     }
 
-    /// How long this runner gets for its answer's head, where another one could be asked.
-    fn attempt_time(&self) -> Option<Millis> {
+    /// How long this runner gets for its answer's head, where another one could be asked. A stream that waits behind
+    /// what the runner has to read would only wait anew elsewhere.
+    fn attempt_time(&self, pressure: Millis) -> Option<Millis> {
         let route = &self.job.route;
         if !route.is_repeatable() || self.runs >= route.max_attempts {
             return None;
         }
         let left = self.job.deadline.since(self.gate.now());
         let span = match route.kind {
-            RouteKind::Streaming => Millis(route.target.0 * 2),
+            RouteKind::Streaming => Millis((route.target.0 + pressure.0) * 2),
             _ => Millis(route.target.0.min(left.0 * 2 / 5)),
         };
         Some(span.max(LEAST_ATTEMPT))
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -184,6 +184,9 @@
     /// Prompt tokens that the runner will have to read.
     #[prost(uint32, tag = "4")]
     pub reading: u32,
+    /// How long what it was given to read before takes to be read, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub pressure_ms: u64,
 }
 
 /// A daemon's use of runners, for the placing daemon.
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -170,6 +170,7 @@
         fetch_from,
         reading: grant.reading,
         load,
+        pressure: Millis(grant.pressure_ms),
         is_granted: true,
     }))
 }
@@ -213,6 +214,7 @@
         runner: placement.record.name.to_string(),
         source: placement.fetch_from.map(|source| source.to_string()).unwrap_or_default(),
         reading: placement.reading,
+        pressure_ms: placement.pressure.0,
         is_full: false,
     })
 }
