Keep one exit code, name route kinds once, log what a daemon without configuration refuses

Ruled out: a change of what callers get; the answer is the same 503. Change: ExitCode in parts, RouteKind::name, a Rejected line with the request's id; a needless Cell is gone.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -1,6 +1,5 @@
 //! One send of a request to one runner.
 
-use std::cell::Cell;
 use std::future::pending;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -212,7 +211,7 @@
     }
 
     async fn read_answer_head(&self, inbound: &mut Inbound) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
-        let skipped = Cell::new(0);
+        let mut skipped = 0;
         loop {
             let head = read_head(inbound).await?;
             if head.status < 200 {
@@ -224,10 +223,10 @@
                 return Ok((head, reply));
             }
             let length = response_body("GET", &head).map_err(|_| HeadFailure::Garbled)?;
-            if length == BodyLength::UntilClose || skipped.get() >= MOST_SKIPPED {
+            if length == BodyLength::UntilClose || skipped >= MOST_SKIPPED {
                 return Err(HeadFailure::Garbled);
             }
-            skipped.set(skipped.get() + 1);
+            skipped += 1;
             let (mut reader, mut body) = (BodyReader::new(length), Vec::new());
             while reader.next(inbound, &mut body).await.map_err(|_| HeadFailure::Broke)? {
                 body.clear();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -172,11 +172,12 @@
     body: Vec<u8>,
     arrived: Millis,
 ) -> Result<Job, Option<Reply>> {
+    let caller = gate.dialect.caller(&head.fields);
     let Some(configuration) = gate.configuration() else {
+        record!(Event::Rejected, request = caller.request, status = 503, reason = "no configuration yet");
         let reply = Reply::text(503, "not run; no configuration yet\n");
         return Err(Some(Reply { retry_after: Some(RETRY_START), ..reply }));
     };
-    let caller = gate.dialect.caller(&head.fields);
     let deny = |status: u16, reason: &str| {
         record!(
             Event::Rejected,
@@ -234,12 +235,7 @@
         ending = time_out(caller).await;
     }
     let took = gate.now().since(arrived);
-    let kind = match kind {
-        crate::RouteKind::Safe => "safe",
-        crate::RouteKind::Unsafe => "unsafe",
-        crate::RouteKind::Streaming => "streaming",
-    };
-    gate.metrics.ended.get_or_create(&EndLabels { kind, outcome: ending.name() }).inc();
+    gate.metrics.ended.get_or_create(&EndLabels { kind: kind.name(), outcome: ending.name() }).inc();
     gate.metrics.seconds.observe(took.0 as f64 / 1_000.0);
     let event = if ending == Ending::CallerLeft { Event::CallerLeft } else { Event::RequestEnded };
     record!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,7 +48,7 @@
 pub use retry_ledger::RetryLedger;
 pub use roster::{ReaderRole, Roster};
 pub use route::{Route, RouteKind, RouteTable, Split, UnknownKind};
-pub use run::{ExitCode, RunError, run_gateway};
+pub use run::{RunError, run_gateway};
 pub use runner::RunnerRecord;
 pub use seconds::Seconds;
 pub use settings::{Bounds, Settings, SettingsError};
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -20,13 +20,20 @@
     Streaming,
 }
 
-impl fmt::Display for RouteKind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl RouteKind {
+    /// The kind's name in configurations, logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
             RouteKind::Safe => "safe",
             RouteKind::Unsafe => "unsafe",
             RouteKind::Streaming => "streaming",
-        })
+        }
+    }
+}
+
+impl fmt::Display for RouteKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,33 +7,13 @@
 use error_stack::{Report, ResultExt};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use teaselcroft_parts::ExitCode;
 
 use crate::dialect::Dialect;
 use crate::log_setup::start_logging;
 use crate::store::Store;
 use crate::{Event, GatewayDaemon, Settings, record};
 
-/// How the program ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ExitCode {
-    /// Everything went well.
-    Success,
-    /// The daemon could not run.
-    Failure,
-    /// The settings cannot be used.
-    BadInput,
-}
-
-impl From<ExitCode> for std::process::ExitCode {
-    fn from(code: ExitCode) -> std::process::ExitCode {
-        std::process::ExitCode::from(match code {
-            ExitCode::Success => 0,
-            ExitCode::Failure => 1,
-            ExitCode::BadInput => 2,
-        })
-    }
-}
-
 /// Why a gateway daemon could not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunError {
--- a/crates/parts/src/lib.rs
+++ b/crates/parts/src/lib.rs
@@ -4,6 +4,7 @@
 //! performs I/O, reads a clock or draws its own randomness, so that any driver can step it.
 
 mod config_register;
+mod exit_code;
 mod fingerprint;
 mod gap_witness;
 mod incarnation;
@@ -21,6 +22,7 @@
 mod slot_record;
 
 pub use config_register::{ConfigRegister, ConfigValue};
+pub use exit_code::ExitCode;
 pub use fingerprint::Fingerprint;
 pub use gap_witness::{GapWitness, WitnessAnswer};
 pub use incarnation::{Incarnation, Member};
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -56,6 +56,6 @@
 pub use node::Node;
 pub use plain_service::{PlainService, ServiceCall, ServiceReply};
 pub use platform::{HttpPlatform, Platform};
-pub use run::{ExitCode, run_daemon};
+pub use run::run_daemon;
 pub use settings::{CustomerSettings, Limits, Settings, SettingsError};
 pub use status::{DaemonStatus, ShardStatus};
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,7 +3,8 @@
 mod cli;
 
 use clap::Parser;
-use teaselcroft_router::{ExitCode, run_daemon};
+use teaselcroft_parts::ExitCode;
+use teaselcroft_router::run_daemon;
 
 fn main() -> std::process::ExitCode {
     let arguments = cli::Arguments::parse();
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -6,31 +6,10 @@
 use error_stack::{Report, ResultExt};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use teaselcroft_parts::Millis;
+use teaselcroft_parts::{ExitCode, Millis};
 
 use crate::{Daemon, HttpPlatform, Settings, start_logging};
 
-/// How the program ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ExitCode {
-    /// Everything went well.
-    Success,
-    /// A promise was violated or a request was not carried out.
-    Failure,
-    /// The input cannot be used.
-    BadInput,
-}
-
-impl From<ExitCode> for std::process::ExitCode {
-    fn from(code: ExitCode) -> std::process::ExitCode {
-        std::process::ExitCode::from(match code {
-            ExitCode::Success => 0,
-            ExitCode::Failure => 1,
-            ExitCode::BadInput => 2,
-        })
-    }
-}
-
 /// Why a daemon could not run.
 #[derive(Debug)]
 pub enum RunError {
--- a/crates/standins/src/bin/replay.rs
+++ b/crates/standins/src/bin/replay.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use clap::Parser;
-use teaselcroft_router::ExitCode;
+use teaselcroft_parts::ExitCode;
 use teaselcroft_standins::{DaemonCommand, ProcessFleet, Report, Runtime, Trace, play, render};
 
 /// Plays a trace against real daemon processes and reports what became of it.
--- a/crates/standins/src/daemon_command.rs
+++ b/crates/standins/src/daemon_command.rs
@@ -3,7 +3,8 @@
 use std::path::PathBuf;
 
 use clap::Subcommand;
-use teaselcroft_router::{ExitCode, run_daemon};
+use teaselcroft_parts::ExitCode;
+use teaselcroft_router::run_daemon;
 
 /// What a player runs instead of playing.
 #[derive(Debug, Subcommand)]
