Use one exit code, one event macro, one backoff and one way to send datagrams

Ruled out as not the same: the range checks of the two settings files (types and words differ), the metrics' tables.

--- a/crates/cli/src/admin_client.rs
+++ b/crates/cli/src/admin_client.rs
@@ -7,8 +7,8 @@
 use teaselcroft_router::http_client::{HttpCall, HttpReply};
 use teaselcroft_router::{AdminError, DaemonStatus};
 
+use crate::command_error::CommandError;
 use crate::config::Config;
-use crate::exit_code::CommandError;
 
 const READ_TIMEOUT: Millis = Millis(5_000);
 const APPLY_TIMEOUT: Millis = Millis(30_000);
--- a/crates/cli/src/exit_code.rs
+++ b/crates/cli/src/command_error.rs
@@ -1,33 +1,8 @@
-//! How a command ended.
+//! Why a command was not carried out.
 
 use std::fmt;
 
-/// How a command ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ExitCode {
-    /// Everything went well.
-    Success,
-    /// A promise was violated, or a daemon refused.
-    Failure,
-    /// The input cannot be used.
-    BadInput,
-    /// Another revision is in force.
-    Conflict,
-    /// No daemon answered, or nobody knows whether the change was accepted.
-    Unknown,
-}
-
-impl From<ExitCode> for std::process::ExitCode {
-    fn from(code: ExitCode) -> std::process::ExitCode {
-        std::process::ExitCode::from(match code {
-            ExitCode::Success => 0,
-            ExitCode::Failure => 1,
-            ExitCode::BadInput => 2,
-            ExitCode::Conflict => 3,
-            ExitCode::Unknown => 4,
-        })
-    }
-}
+use teaselcroft_parts::ExitCode;
 
 /// Why a command was not carried out.
 #[derive(Debug)]
@@ -54,10 +29,10 @@
 
 impl std::error::Error for CommandError {}
 
-impl ExitCode {
-    /// The exit code for an error.
-    pub const fn of(error: &CommandError) -> ExitCode {
-        match error {
+impl CommandError {
+    /// The exit code that fits.
+    pub const fn exit_code(&self) -> ExitCode {
+        match self {
             CommandError::Input(_) => ExitCode::BadInput,
             CommandError::Unreachable(_) => ExitCode::Unknown,
             CommandError::Refused(_) => ExitCode::Failure,
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -10,8 +10,9 @@
 use error_stack::Report;
 
 use crate::cli::{Arguments, Command};
+use crate::command_error::CommandError;
 use crate::config::Config;
-use crate::exit_code::{CommandError, ExitCode};
+use teaselcroft_parts::ExitCode;
 
 /// Carries out a command.
 ///
--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -4,8 +4,9 @@
 
 use teaselcroft_standins::{Report, Runtime, Site, ThreadFleet, Trace, demo_trace, play, render};
 
-use crate::exit_code::{CommandError, ExitCode};
+use crate::command_error::CommandError;
 use crate::output::print_json;
+use teaselcroft_parts::ExitCode;
 
 const SHOWN_VIOLATIONS: usize = 20;
 
--- a/crates/cli/src/commands/explain.rs
+++ b/crates/cli/src/commands/explain.rs
@@ -3,9 +3,10 @@
 use teaselcroft_router::Decision;
 
 use crate::admin_client::AdminClient;
+use crate::command_error::CommandError;
 use crate::config::Config;
-use crate::exit_code::{CommandError, ExitCode};
 use crate::output::{print_json, print_table};
+use teaselcroft_parts::ExitCode;
 
 /// Shows what every daemon remembers of `request`.
 ///
--- a/crates/cli/src/commands/questionnaire.rs
+++ b/crates/cli/src/commands/questionnaire.rs
@@ -6,10 +6,11 @@
 
 use crate::admin_client::{AdminClient, ApplyError};
 use crate::cli::{Options, QuestionnaireCommand};
+use crate::command_error::CommandError;
 use crate::config::Config;
 use crate::difference::differences;
-use crate::exit_code::{CommandError, ExitCode};
 use crate::output::{print_json, print_table};
+use teaselcroft_parts::ExitCode;
 
 const TEMPLATE: &str = include_str!("../template.yaml");
 
--- a/crates/cli/src/commands/status.rs
+++ b/crates/cli/src/commands/status.rs
@@ -7,9 +7,10 @@
 use teaselcroft_router::DaemonStatus;
 
 use crate::admin_client::AdminClient;
+use crate::command_error::CommandError;
 use crate::config::Config;
-use crate::exit_code::{CommandError, ExitCode};
 use crate::output::{print_json, print_table};
+use teaselcroft_parts::ExitCode;
 
 #[derive(Serialize)]
 struct Row {
--- a/crates/cli/src/commands/team.rs
+++ b/crates/cli/src/commands/team.rs
@@ -6,10 +6,11 @@
 
 use crate::admin_client::AdminClient;
 use crate::cli::TeamCommand;
+use crate::command_error::CommandError;
 use crate::commands::questionnaire;
 use crate::config::Config;
-use crate::exit_code::{CommandError, ExitCode};
 use crate::output::{print_json, print_table};
+use teaselcroft_parts::ExitCode;
 
 /// Carries out a team command.
 ///
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -1,7 +1,7 @@
 //! What every command needs, resolved once from the command line.
 
 use crate::cli::Options;
-use crate::exit_code::CommandError;
+use crate::command_error::CommandError;
 
 /// What every command needs.
 #[derive(Debug, Clone)]
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 use teaselcroft_parts::Millis;
 
+use crate::backoff::{Backoff, spread};
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::heartbeat::MemberRecord;
@@ -87,7 +88,7 @@
             }
         };
         let pause = if is_known { MEMBERS_TIME } else { MEMBERS_FIRST_TIME };
-        Timer::after(Millis(pause.0 / 2 + fastrand::u64(0..=pause.0)).into()).await;
+        Timer::after(spread(pause).into()).await;
     }
 }
 
@@ -113,18 +114,17 @@
     store: Arc<S>,
     lease: Arc<std::sync::Mutex<Option<LeaseId>>>,
 ) {
-    let mut pause = RETRY_TIME;
+    let mut backoff = Backoff::new(RETRY_TIME, LONGEST_RETRY);
     loop {
         match register(&gate, &*store).await {
             Ok(granted) => {
-                pause = RETRY_TIME;
+                backoff.reset();
                 *lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(granted);
                 renew(&*store, granted).await;
             }
             Err(error) => {
                 log::debug!("this daemon could not register: {error}");
-                Timer::after(Millis(pause.0 / 2 + fastrand::u64(0..=pause.0)).into()).await;
-                pause = Millis((pause.0 * 2).min(LONGEST_RETRY.0));
+                Timer::after(backoff.pause().into()).await;
             }
         }
     }
--- a/crates/gateway/src/discovery/follow.rs
+++ b/crates/gateway/src/discovery/follow.rs
@@ -4,6 +4,7 @@
 use teaselcroft_parts::Millis;
 
 use super::StoreHealth;
+use crate::backoff::Backoff;
 use crate::dialect::Dialect;
 use crate::gate::Gate;
 use crate::metrics::StoreLabels;
@@ -47,14 +48,14 @@
     /// The revision up to which everything is known, or `None` if a list is needed.
     pub after: Option<Revision>,
     wait: Millis,
-    pause: Millis,
+    backoff: Backoff,
     gathers: bool,
 }
 
 impl<'a, D: Dialect, S: Store> Follower<'a, D, S> {
     pub fn new(store: &'a S, prefix: &'static str, health: &'a StoreHealth, gate: &'a Gate<D>) -> Follower<'a, D, S> {
-        let (wait, pause) = (FIRST_WATCH_TIME, FIRST_PAUSE);
-        Follower { store, prefix, health, gate, after: None, wait, pause, gathers: false }
+        let backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
+        Follower { store, prefix, health, gate, after: None, wait: FIRST_WATCH_TIME, backoff, gathers: false }
     }
 
     /// What the store says next, waiting up to `longest` for a change.
@@ -74,7 +75,7 @@
         match result {
             Ok(changes) => {
                 self.health.answered(self.gate.now());
-                self.pause = FIRST_PAUSE;
+                self.backoff.reset();
                 let before = self.after.replace(changes.revision);
                 self.wait = if before.is_some() { WATCH_TIME } else { FIRST_WATCH_TIME };
                 self.gathers = before.is_some();
@@ -94,9 +95,7 @@
                     self.after = None;
                 }
                 self.health.failed(self.prefix, error, self.gate.now());
-                let spread = self.pause.0 / 2 + fastrand::u64(0..=self.pause.0);
-                self.pause = Millis((self.pause.0 * 2).min(LONGEST_PAUSE.0));
-                Err(Millis(spread))
+                Err(self.backoff.pause())
             }
         }
     }
--- a/crates/gateway/src/discovery/runners.rs
+++ b/crates/gateway/src/discovery/runners.rs
@@ -54,8 +54,14 @@
     }
     let longest_silence = Millis(hold.0 / SPEAKS_UP);
     let follower = Follower::new(&*store, gate.dialect.runner_prefix(), &health, &gate);
-    let mut runners =
-        Runners { gate: &gate, health: &health, follower, fresh: gate.now(), told: Millis(0), longest_silence };
+    let mut runners = Runners {
+        gate: &gate,
+        health: &health,
+        follower,
+        ask_at: gate.now() + longest_silence,
+        told: Millis(0),
+        longest_silence,
+    };
     let mut role = ReaderRole::Alone;
     loop {
         let now = gate.now();
@@ -83,8 +89,8 @@
     gate: &'a Gate<D>,
     health: &'a StoreHealth,
     follower: Follower<'a, D, S>,
-    /// When everything was last known to be known.
-    fresh: Millis,
+    /// When the store is asked, unless a reader speaks up before.
+    ask_at: Millis,
     /// When a reader last handed something on.
     told: Millis,
     longest_silence: Millis,
@@ -95,7 +101,7 @@
     /// What failed is asked again after the pause that is returned.
     async fn read(&mut self, longest: Millis, hands_on: bool) -> Result<(), Millis> {
         let said = self.follower.next(longest).await?;
-        self.fresh = self.gate.now();
+        self.ask_at = self.gate.now() + self.longest_silence;
         let decode = |changes: Changes| -> (Vec<RunnerChange>, Revision) {
             (changes.changes.into_iter().filter_map(|change| self.decode(change)).collect(), changes.revision)
         };
@@ -123,8 +129,7 @@
     /// Reads at once what has changed; after a failure, goes on listening until it is time to ask again.
     async fn catch_up(&mut self) {
         if let Err(pause) = self.read(NO_WAIT, false).await {
-            let spared = self.longest_silence.since(Millis(pause.0 * LISTENERS_PATIENCE));
-            self.fresh = self.gate.now().since(spared);
+            self.ask_at = self.gate.now() + self.longest_silence.min(Millis(pause.0 * LISTENERS_PATIENCE));
         }
     }
 
@@ -133,7 +138,7 @@
         if self.follower.after.is_none() && self.fetch_list().await {
             return;
         }
-        let left = (self.fresh + self.longest_silence).since(self.gate.now());
+        let left = self.ask_at.since(self.gate.now());
         let news = or(async { self.gate.next_news().await }, async {
             Timer::after(left.into()).await;
             None
@@ -147,9 +152,9 @@
         match taken {
             Taken::New(changes) => {
                 self.follower.after = self.gate.runner_index().revision();
-                self.fresh = self.gate.now();
-                self.told = self.fresh;
-                self.health.answered(self.fresh);
+                self.told = self.gate.now();
+                self.ask_at = self.told + self.longest_silence;
+                self.health.answered(self.told);
                 self.take_in(changes);
             }
             Taken::Old => {}
@@ -174,7 +179,7 @@
                     self.take_in(changes);
                     self.follower.after = Some(revision);
                     // The peer may have lost the store itself: what it missed is asked for at once.
-                    self.fresh = Millis(0);
+                    self.ask_at = self.gate.now();
                     return true;
                 }
             }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -52,12 +52,3 @@
     /// The caller left before its answer was whole.
     CallerLeft = 655;
 }
-
-/// Logs a numbered event with its grounds as key-value pairs.
-#[macro_export]
-macro_rules! record {
-    ($event:expr, $($key:ident = $value:expr),+ $(,)?) => {{
-        let event: $crate::Event = $event;
-        log::info!(event = event.number(), $($key:% = $value),+; "{}", event.name());
-    }};
-}
--- a/crates/gateway/src/fleet/cache_map.rs
+++ b/crates/gateway/src/fleet/cache_map.rs
@@ -107,16 +107,17 @@
 
     /// Forgets a runner.
     pub fn forget(&mut self, runner: RunnerKey) {
-        self.holders.retain(|_, holders| {
-            holders.retain(|holder| holder.runner != runner);
-            !holders.is_empty()
-        });
+        self.keep(|holder| holder.runner != runner);
     }
 
     /// Forgets what has likely been evicted.
     pub fn sweep(&mut self, now: Millis) {
+        self.keep(|holder| now.since(holder.used) < FORGOTTEN);
+    }
+
+    fn keep(&mut self, is_kept: impl Fn(&Holder) -> bool) {
         self.holders.retain(|_, holders| {
-            holders.retain(|holder| now.since(holder.used) < FORGOTTEN);
+            holders.retain(&is_kept);
             !holders.is_empty()
         });
     }
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -142,7 +142,7 @@
             let again = held.known.saturating_sub(cached + fetched);
             let reading = own + shared.saturating_sub(cached + fetched);
             let load = state.load();
-            let is_on_side = (side_hash(state) <= interactive) == ask.is_interactive();
+            let is_on_side = (state.side <= interactive) == ask.is_interactive();
             let wait = f64::from(load.reading + reading) / READ_TOKENS_PER_MS;
             let cost = wait
                 + f64::from(load.requests) * REQUEST_MS
@@ -165,18 +165,16 @@
     fn interactive_bound(&self, service: &ModelName) -> u64 {
         let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
         let ready = keys.iter().map(|key| &self.runners[*key]).filter(|state| state.record.is_ready);
-        let mut hashes: Vec<u64> = ready.map(side_hash).collect();
-        hashes.sort_unstable();
-        let count = hashes.len().div_ceil(INTERACTIVE_SHARE);
-        hashes.get(count.saturating_sub(1)).copied().unwrap_or(0)
+        let mut sides: Vec<u64> = ready.map(|state| state.side).collect();
+        let Some(last) = sides.len().div_ceil(INTERACTIVE_SHARE).checked_sub(1) else {
+            return 0;
+        };
+        *sides.select_nth_unstable(last).1
     }
 }
 
-fn side_hash(state: &RunnerState) -> u64 {
-    mix(0x9e37_79b9_7f4a_7c15, state.hash)
-}
-
-fn mix(seed: u64, hash: u64) -> u64 {
+/// Orders runners by `seed`, in another way for each.
+pub(super) fn mix(seed: u64, hash: u64) -> u64 {
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&seed.to_le_bytes());
     bytes[8..].copy_from_slice(&hash.to_le_bytes());
--- a/crates/gateway/src/fleet/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -5,10 +5,14 @@
 use teaselcroft_parts::Millis;
 
 use super::Load;
+use super::placement::mix;
 use super::pressure::Pressure;
 use crate::RunnerRecord;
 use crate::store::Revision;
 
+/// Orders runners for the division otherwise than for the homes of prompts.
+const SIDE_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// A known runner.
 #[derive(Debug)]
 pub(super) struct RunnerState {
@@ -18,6 +22,8 @@
     pub revision: Revision,
     /// The hash of its name.
     pub hash: u64,
+    /// Its place in the division into interactive and other runners.
+    pub side: u64,
     /// What this daemon sent it.
     pub mine: Load,
     /// What other daemons sent it.
@@ -36,6 +42,7 @@
             record: record.into(),
             revision,
             hash,
+            side: mix(SIDE_SEED, hash),
             mine: Load::default(),
             others: Load::default(),
             pressure: Pressure::default(),
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -1,5 +1,9 @@
 //! What daemons tell each other: one datagram at a time.
 
+use std::net::{SocketAddr, UdpSocket};
+
+use async_io::Async;
+
 use crate::runner_news::RunnerNews;
 
 /// The state of a daemon.
@@ -236,3 +240,17 @@
         Datagram { content: Some(content) }
     }
 }
+
+impl Content {
+    /// The datagram's bytes.
+    pub fn into_bytes(self) -> Vec<u8> {
+        prost::Message::encode_to_vec(&Datagram::from(self))
+    }
+}
+
+/// Sends a datagram; one that cannot be sent counts as lost, which its receiver bears.
+pub async fn send(socket: &Async<UdpSocket>, bytes: &[u8], target: SocketAddr) {
+    if let Err(error) = socket.send_to(bytes, target).await {
+        log::debug!("a datagram to {target} was not sent: {error}");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! The gateway holds decisions, state and recovery; a [`Dialect`] and a [`store::Store`] connect it to one
 //! platform's names and wire formats.
 
+mod backoff;
 mod body_memory;
 mod caller;
 mod configuration;
@@ -52,3 +53,4 @@
 pub use runner::RunnerRecord;
 pub use seconds::Seconds;
 pub use settings::{Bounds, Settings, SettingsError};
+pub(crate) use teaselcroft_parts::log_event as record;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 
 use crate::dialect::Dialect;
 use crate::gate::Gate;
-use crate::heartbeat::{Content, Datagram, Heartbeat, MemberRecord};
+use crate::heartbeat::{Content, Datagram, Heartbeat, MemberRecord, send};
 use crate::http_client::HttpClient;
 use crate::placer::answer;
 use crate::roster::{FAR_ROUNDS, peer_address};
@@ -78,54 +78,50 @@
 /// Sends one heartbeat to each peer whose turn it is, or to all if the news is urgent.
 async fn send_round<D: Dialect>(gate: &Gate<D>, socket: &Async<UdpSocket>, round: usize, is_urgent: bool) {
     let now = gate.now();
-    let far_period = gate.roster().far_period(now);
-    let (heartbeat, mut members) = compose(gate, far_period, now);
-    let encode = |loads: bool, period: Millis, members: Vec<MemberRecord>| {
-        let mut one = Heartbeat { members, ..heartbeat.clone() };
-        if !loads {
-            (one.loads, one.caches) = (Vec::new(), Vec::new());
-        }
-        if let Some(member) = &mut one.member {
-            member.period_ms = u32::try_from(period.0).unwrap_or(u32::MAX);
-        }
-        Datagram::from(Content::Heartbeat(one)).encode_to_vec()
+    let (near_period, far_period) = {
+        let roster = gate.roster();
+        (roster.heartbeat_time(), roster.far_period(now))
     };
-    let near_period = gate.roster().heartbeat_time();
+    let (mut slim, mut members) = compose(gate, far_period, now);
+    let (loads, caches) = (std::mem::take(&mut slim.loads), std::mem::take(&mut slim.caches));
     fastrand::shuffle(&mut members);
     members.truncate(MEMBERS_TOLD);
-    let full = encode(true, near_period, Vec::new());
-    let (near, far) = (encode(false, near_period, Vec::new()), encode(false, far_period, Vec::new()));
-    let telling = encode(false, far_period, members);
-    let told = placing_addresses(gate, now);
+    let full = encode(Heartbeat { loads, caches, ..slim.clone() }, near_period);
+    let naming = encode(Heartbeat { members, ..slim.clone() }, far_period);
+    let (near, far) = (encode(slim.clone(), near_period), encode(slim, far_period));
+    let placing = placing_addresses(gate, now);
     let targets = targets(gate);
-    let listeners = [fastrand::usize(..targets.len().max(1)), fastrand::usize(..targets.len().max(1))];
+    let named_to = [fastrand::usize(..targets.len().max(1)), fastrand::usize(..targets.len().max(1))];
     for (index, (target, is_near)) in targets.into_iter().enumerate() {
         let is_due = is_near || is_urgent || far_period == near_period || index % FAR_ROUNDS == round % FAR_ROUNDS;
         let bytes = match () {
-            () if told.contains(&target) => &full,
-            () if listeners.contains(&index) => &telling,
+            () if placing.contains(&target) => &full,
+            () if named_to.contains(&index) => &naming,
             () if !is_due => continue,
             () if is_near => &near,
             () => &far,
         };
-        if let Err(error) = socket.send_to(bytes, target).await {
-            log::debug!("a heartbeat to {target} was not sent: {error}");
-        }
+        send(socket, bytes, target).await;
     }
 }
 
+/// A heartbeat for peers that get one every `period`.
+fn encode(mut heartbeat: Heartbeat, period: Millis) -> Vec<u8> {
+    if let Some(member) = &mut heartbeat.member {
+        member.period_ms = u32::try_from(period.0).unwrap_or(u32::MAX);
+    }
+    Content::Heartbeat(heartbeat).into_bytes()
+}
+
 /// Hands changes of runners' entries on to peers.
 pub async fn send_to_peers<D: Dialect>(gate: &Gate<D>, news: RunnerNews, peers: &[IpAddr]) {
     let Some(socket) = gate.placer.socket() else {
         return;
     };
     let version = gate.configuration().map_or(0, |configuration| configuration.version.0);
-    let bytes = Datagram::from(Content::News(RunnerNews { version, ..news })).encode_to_vec();
+    let bytes = Content::News(RunnerNews { version, ..news }).into_bytes();
     for peer in peers {
-        let target = SocketAddr::new(*peer, gate.settings.heartbeat_port);
-        if let Err(error) = socket.send_to(&bytes, target).await {
-            log::debug!("news of runners to {target} was not sent: {error}");
-        }
+        send(socket, &bytes, SocketAddr::new(*peer, gate.settings.heartbeat_port)).await;
     }
 }
 
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -9,13 +9,12 @@
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
-use prost::Message;
 use teaselcroft_parts::{Millis, ModelName, RunnerName};
 
 use crate::dialect::Dialect;
 use crate::fleet::{Ask, Choice, Placement};
 use crate::gate::Gate;
-use crate::heartbeat::{Content, Datagram, LoadReport, PlaceAsk, PlaceGrant};
+use crate::heartbeat::{Content, LoadReport, PlaceAsk, PlaceGrant, send};
 use crate::{Event, Priority, Prompt, PromptPart, record};
 
 /// How long an answer is waited for: some times the way there and back within a region.
@@ -85,10 +84,7 @@
             }
             pending.answers.insert(number, sender);
         }
-        let bytes = Datagram::from(Content::Ask(ask)).encode_to_vec();
-        if let Err(error) = socket.send_to(&bytes, target).await {
-            log::debug!("a question to {target} was not sent: {error}");
-        }
+        send(socket, &Content::Ask(ask).into_bytes(), target).await;
         let answer = or(async { receiver.recv().await.ok() }, async {
             Timer::after(ANSWER_TIME.into()).await;
             None
@@ -180,10 +176,7 @@
     let grant = decide(gate, &ask);
     let number = ask.number;
     let grant = grant.unwrap_or_else(|| PlaceGrant { number, ..PlaceGrant::default() });
-    let bytes = Datagram::from(Content::Grant(grant)).encode_to_vec();
-    if let Err(error) = socket.send_to(&bytes, from).await {
-        log::debug!("an answer to {from} was not sent: {error}");
-    }
+    send(socket, &Content::Grant(grant).into_bytes(), from).await;
 }
 
 fn decide<D: Dialect>(gate: &Gate<D>, question: &PlaceAsk) -> Option<PlaceGrant> {
@@ -233,9 +226,6 @@
         let loads = gate.fleet().own_loads(now);
         let number = gate.placer.number.load(Ordering::Relaxed);
         let report = LoadReport { daemon: gate.settings.daemon.to_string(), number, loads };
-        let bytes = Datagram::from(Content::Report(report)).encode_to_vec();
-        if let Err(error) = socket.send_to(&bytes, target).await {
-            log::debug!("a report to {target} was not sent: {error}");
-        }
+        send(&socket, &Content::Report(report).into_bytes(), target).await;
     }
 }
--- a/crates/parts/src/numbered_events.rs
+++ b/crates/parts/src/numbered_events.rs
@@ -32,3 +32,12 @@
         }
     };
 }
+
+/// Logs a numbered event with its grounds as key-value pairs.
+#[macro_export]
+macro_rules! log_event {
+    ($event:expr, $($key:ident = $value:expr),+ $(,)?) => {{
+        let event = $event;
+        log::info!(event = event.number(), $($key:% = $value),+; "{}", event.name());
+    }};
+}
--- a/crates/router/src/event.rs
+++ b/crates/router/src/event.rs
@@ -54,12 +54,3 @@
     /// The VM list cannot be read.
     VmListUnreachable = 503;
 }
-
-/// Logs a numbered event with its grounds as key-value pairs.
-#[macro_export]
-macro_rules! emit {
-    ($event:expr, $($key:ident = $value:expr),+ $(,)?) => {{
-        let event: $crate::Event = $event;
-        log::info!(event = event.number(), $($key:% = $value),+; "{}", event.name());
-    }};
-}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -59,3 +59,4 @@
 pub use run::run_daemon;
 pub use settings::{CustomerSettings, Limits, Settings, SettingsError};
 pub use status::{DaemonStatus, ShardStatus};
+pub(crate) use teaselcroft_parts::log_event as emit;
