Log the content, the point of the break and the count of each runner that breaks off

Event 644 now tells apart the hypotheses on repeated requests that crash runners: it names the hash of the content, how far the answer had come and whether the break is counted. A buffered answer that was cut short had no line but 651; it gets 645 with the reason. No decision changes: record_crash moves to a file of its own, forward/crash.rs.

--- a/crates/gateway/src/crash_tracker/suspect.rs
+++ b/crates/gateway/src/crash_tracker/suspect.rs
@@ -1,5 +1,7 @@
 //! What a request carries that may crash runners.
 
+use std::fmt;
+
 use crate::heartbeat::Crash;
 
 /// What a request carries that may crash runners.
@@ -26,6 +28,13 @@
     }
 }
 
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (Suspect::Content(id) | Suspect::Part(id)) = self;
+        write!(f, "{id:x}")
+    }
+}
+
 impl From<Crash> for Suspect {
     fn from(crash: Crash) -> Suspect {
         if crash.is_part { Suspect::Part(crash.suspect) } else { Suspect::Content(crash.suspect) }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -49,7 +49,7 @@
     RunnerAvoided = 642;
     /// The runners were listed for the first time.
     RunnersListed = 643;
-    /// A runner's connection broke during a request; lists the prompt's shared parts and the events received.
+    /// A runner's connection broke during a request; states the content's hash, how far the answer had come, whether the content is counted, the events received and the prompt's shared parts.
     RunnerBrokeOff = 644;
     /// A runner's bytes are no answer or do not end; its connection is closed.
     AnswerCutOff = 645;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards one request to runners, with retries, and relays the answer to the caller.
 
 mod attempt;
+mod crash;
 mod in_flight;
 mod relay;
 
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -10,16 +10,16 @@
 use teaselcroft_parts::Millis;
 
 use super::Forwarder;
+use super::crash::BreakPoint;
 use super::in_flight::InFlight;
-use crate::crash_tracker::Suspect;
 use crate::dialect::{Dialect, RunnerFields, RunnerReply};
-use crate::fleet::{Placement, runner_hash};
+use crate::fleet::Placement;
 use crate::http::{BodyLength, BodyReader, Connection, PathTimeout, ResponseHead, is_hop_by_hop, response_body};
 use crate::http_client::connect;
-use crate::{Event, Prompt, RouteKind, log_event};
+use crate::{Event, RouteKind, log_event};
 
 /// How long connecting to a runner may take.
-const CONNECT_TIMEOUT: Millis = Millis(300);
+pub(super) const CONNECT_TIMEOUT: Millis = Millis(300);
 
 /// The largest response head accepted from a runner.
 const MAX_HEAD_BYTES: usize = 32_768;
@@ -119,7 +119,7 @@
             Ok(answer) => answer,
             Err(HeadFailure::Blocked) => return AttemptOutcome::Withdrawn,
             Err(HeadFailure::Disconnected) => {
-                self.record_crash(placement).await;
+                self.record_crash(placement, BreakPoint::Head).await;
                 return AttemptOutcome::Failed(None);
             }
             Err(HeadFailure::Malformed(reason)) => {
@@ -175,7 +175,10 @@
                     self.log_cut_off(placement, "the body is too long");
                     return AttemptOutcome::Failed(None);
                 }
-                Err(_) => return AttemptOutcome::Failed(None),
+                Err(error) => {
+                    self.log_cut_off(placement, error);
+                    return AttemptOutcome::Failed(None);
+                }
             }
         }
         let idle_timeout = idle_timeout(&head);
@@ -291,35 +294,6 @@
         Some(span.max(MIN_ATTEMPT_TIMEOUT))
     }
 
-    /// Records that the runner's connection broke during this request. The content of a request without a body is exempt,
-    /// since many callers send the same one; parts of the prompt are, if the request was being answered or the runner
-    /// still accepts connections.
-    pub(super) async fn record_crash(&self, placement: &Placement) {
-        let (content, parts) = self.content_and_parts();
-        let runner = runner_hash(&placement.record.name, placement.record.started_at);
-        self.log_break(placement);
-        if !self.job.body.is_empty() {
-            self.gateway.note_crash(content.crash_of(runner), true);
-            if self.gateway.crashes().is_nearly_proven(content) {
-                self.gateway.request_heartbeats();
-            }
-        }
-        let now = self.gateway.now();
-        let suspicious: Vec<Suspect> = {
-            let crashes = self.gateway.crashes();
-            parts.iter().filter(|part| !self.is_cleared && crashes.is_suspicious(**part, now)).copied().collect()
-        };
-        if suspicious.is_empty()
-            || connect(placement.record.address, CONNECT_TIMEOUT, PathTimeout::default()).await.is_ok()
-        {
-            return;
-        }
-        for part in suspicious {
-            self.gateway.note_crash(part.crash_of(runner), true);
-        }
-        self.gateway.request_heartbeats();
-    }
-
     /// Logs why a runner's bytes are not read further.
     pub(super) fn log_cut_off(&self, placement: &Placement, reason: impl fmt::Display) {
         log_event!(
@@ -330,17 +304,6 @@
         );
     }
 
-    fn log_break(&self, placement: &Placement) {
-        let parts = self.job.caller_fields.prompt.as_ref().map_or(&[][..], Prompt::shared);
-        log_event!(
-            Event::RunnerBrokeOff,
-            request = self.job.caller_fields.request_id,
-            runner = placement.record.name,
-            events = self.events.count(),
-            parts = parts.iter().map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
-        );
-    }
-
     /// Encodes the request for this runner: the caller's head without hop-by-hop and withheld fields, the platform's
     /// own fields, and the body.
     fn encode(&self, placement: &Placement) -> Vec<u8> {
--- /dev/null
+++ b/crates/gateway/src/forward/crash.rs
@@ -0,0 +1,74 @@
+//! Records that a runner broke off during a request, which may have crashed it.
+
+use super::Forwarder;
+use super::attempt::CONNECT_TIMEOUT;
+use crate::crash_tracker::Suspect;
+use crate::dialect::Dialect;
+use crate::fleet::{Placement, runner_hash};
+use crate::http::PathTimeout;
+use crate::http_client::connect;
+use crate::{Event, Prompt, log_event};
+
+/// How far an answer had come when its connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum BreakPoint {
+    /// No complete head had arrived.
+    Head,
+    /// A stream had begun.
+    Stream,
+}
+
+impl BreakPoint {
+    const fn name(self) -> &'static str {
+        match self {
+            BreakPoint::Head => "head",
+            BreakPoint::Stream => "stream",
+        }
+    }
+}
+
+impl<D: Dialect> Forwarder<'_, D> {
+    /// Records that the runner's connection broke during this request. The content of a request without a body is exempt,
+    /// since many callers send the same one; parts of the prompt are, if the request was being answered or the runner
+    /// still accepts connections.
+    pub(super) async fn record_crash(&self, placement: &Placement, point: BreakPoint) {
+        let (content, parts) = self.content_and_parts();
+        let runner = runner_hash(&placement.record.name, placement.record.started_at);
+        let is_counted = !self.job.body.is_empty();
+        self.log_break(placement, point, is_counted);
+        if is_counted {
+            self.gateway.note_crash(content.crash_of(runner), true);
+            if self.gateway.crashes().is_nearly_proven(content) {
+                self.gateway.request_heartbeats();
+            }
+        }
+        let now = self.gateway.now();
+        let suspicious: Vec<Suspect> = {
+            let crashes = self.gateway.crashes();
+            parts.iter().filter(|part| !self.is_cleared && crashes.is_suspicious(**part, now)).copied().collect()
+        };
+        if suspicious.is_empty()
+            || connect(placement.record.address, CONNECT_TIMEOUT, PathTimeout::default()).await.is_ok()
+        {
+            return;
+        }
+        for part in suspicious {
+            self.gateway.note_crash(part.crash_of(runner), true);
+        }
+        self.gateway.request_heartbeats();
+    }
+
+    fn log_break(&self, placement: &Placement, point: BreakPoint, is_counted: bool) {
+        let parts = self.job.caller_fields.prompt.as_ref().map_or(&[][..], Prompt::shared);
+        log_event!(
+            Event::RunnerBrokeOff,
+            request = self.job.caller_fields.request_id,
+            runner = placement.record.name,
+            content = self.content_and_parts().0,
+            point = point.name(),
+            counted = is_counted,
+            events = self.events.count(),
+            parts = parts.iter().map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
+        );
+    }
+}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -6,6 +6,7 @@
 
 use super::Forwarder;
 use super::attempt::AttemptOutcome;
+use super::crash::BreakPoint;
 use super::in_flight::InFlight;
 use crate::dialect::Dialect;
 use crate::fleet::Placement;
@@ -40,7 +41,7 @@
                 Ok(false) => break,
                 Err(error) => {
                     if matches!(error, BodyError::Incomplete) {
-                        self.record_crash(placement).await;
+                        self.record_crash(placement, BreakPoint::Stream).await;
                     }
                     return self.interrupted();
                 }
@@ -66,7 +67,7 @@
         // Only the events say whether a body that ends with its connection is whole.
         let is_unframed = length == BodyLength::UntilClose;
         if is_unframed && (self.events.is_mid_event() || self.events.count() == 0) {
-            self.record_crash(placement).await;
+            self.record_crash(placement, BreakPoint::Stream).await;
             return self.interrupted();
         }
         if self.events.is_mid_event() {
