Count buffered answers that are cut short as crashes

What callers saw: the same request ended runner after runner. BUDGET: it reached more than three after it had ended three.

Cause: a break counts against a request where no head came and where a stream breaks. An answer of any other route is read whole before it is relayed, and its break ended the attempt without a record. The class of fault: evidence is collected in two of three paths that end alike.

Evidence: a_request_that_crashes_runners_inside_a_buffered_answer_is_refused failed before: all eight runners ended, and the ninth request is refused only since none is left (statuses 502 eight times, then 503). Now it passes; three end.

Why this works: all three paths call record_crash. A body with a length or chunks that ends early is no answer, so nothing that was whole can count.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -14,7 +14,9 @@
 use super::in_flight::InFlight;
 use crate::dialect::{Dialect, RunnerFields, RunnerReply};
 use crate::fleet::Placement;
-use crate::http::{BodyLength, BodyReader, Connection, PathTimeout, ResponseHead, is_hop_by_hop, response_body};
+use crate::http::{
+    BodyError, BodyLength, BodyReader, Connection, PathTimeout, ResponseHead, is_hop_by_hop, response_body,
+};
 use crate::http_client::connect;
 use crate::{Event, RouteKind, log_event};
 
@@ -175,6 +177,10 @@
                     self.log_cut_off(placement, "the body is too long");
                     return AttemptOutcome::Failed(None);
                 }
+                Err(BodyError::Incomplete) => {
+                    self.record_crash(placement, BreakPoint::Body).await;
+                    return AttemptOutcome::Failed(None);
+                }
                 Err(error) => {
                     self.log_cut_off(placement, error);
                     return AttemptOutcome::Failed(None);
--- a/crates/gateway/src/forward/crash.rs
+++ b/crates/gateway/src/forward/crash.rs
@@ -14,6 +14,8 @@
 pub(super) enum BreakPoint {
     /// No complete head had arrived.
     Head,
+    /// A body that is buffered was incomplete.
+    Body,
     /// A stream had begun.
     Stream,
 }
@@ -22,6 +24,7 @@
     const fn name(self) -> &'static str {
         match self {
             BreakPoint::Head => "head",
+            BreakPoint::Body => "body",
             BreakPoint::Stream => "stream",
         }
     }
