Clear a request's content of crashes by a whole answer

What callers saw: a request that runners can run was refused for five minutes after its connection had broken three times within a minute, however often it was answered in between.

Why this works: what crashes each runner that runs it is never answered whole. Only answers whose end the framing shows count, not those that end with the connection. Clearances and crashes carry their age between daemons, so that a repeated clearance does not remove a later crash. Clearances are kept as long as crashes, under a new tag of the heartbeat.

This goes before the count of requests without a body, which many callers send alike.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -6,7 +6,7 @@
 
 use teaselcroft_parts::Millis;
 
-use crate::heartbeat::Crash;
+use crate::heartbeat::{Clearance, Crash};
 pub use suspect::Suspect;
 
 /// A suspect is blocked once it crashed this many runners.
@@ -48,7 +48,7 @@
     is_own: bool,
 }
 
-/// When a prompt part was last answered.
+/// When a suspect was last answered.
 #[derive(Debug, Clone, Copy)]
 struct Answered {
     at: Millis,
@@ -58,8 +58,8 @@
 
 /// Tracks by content and by prompt part the requests after which runners crashed.
 ///
-/// All unanswered requests at a runner are suspects of its crash. An answer clears the parts that it was made for, here
-/// and at peers. What crashes runners is never answered, so its crashes add up; a harmless part that always comes
+/// All unanswered requests at a runner are suspects of its crash. An answer that has begun clears the parts that it was made
+/// for, a whole one the content too, here and at peers. What crashes runners is never answered, so its crashes add up; a harmless part that always comes
 /// together with it is told apart by requests that carry only one of the two, which are admitted.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
@@ -67,8 +67,8 @@
     /// The suspects of each runner start's crash.
     crashes: HashMap<u64, Vec<Suspect>>,
     answered: HashMap<Suspect, Answered>,
-    /// The suspected parts that answers seen by this daemon cleared.
-    cleared: Vec<(Millis, u64)>,
+    /// The suspects that answers cleared; crashes before that do not count.
+    cleared: HashMap<Suspect, Answered>,
     expired_at: Millis,
 }
 
@@ -77,6 +77,10 @@
     pub fn note(&mut self, crash: Crash, is_own: bool, now: Millis) {
         self.expire(now);
         let suspect = Suspect::from(crash);
+        let at = now.since(Millis(crash.age_ms.into()));
+        if self.cleared.get(&suspect).is_some_and(|cleared| cleared.at > at) {
+            return;
+        }
         match self.answered.get(&suspect) {
             Some(answer) if answer.is_own && self.is_harmless(suspect, now) => return self.report_clear(suspect, now),
             _ if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&suspect) => return,
@@ -84,32 +88,43 @@
         }
         let sightings = self.suspects.entry(suspect).or_default();
         if sightings.iter().all(|known| known.runner != crash.runner) {
-            sightings.push(Sighting { runner: crash.runner, at: now, is_own });
+            sightings.push(Sighting { runner: crash.runner, at, is_own });
             self.crashes.entry(crash.runner).or_default().push(suspect);
         }
     }
 
     /// Records that a request is being answered, which clears its prompt's `parts` of all crashes. Its content is not
-    /// cleared: it may crash the runner later on.
+    /// cleared until the answer is whole: it may crash the runner later on.
     pub fn note_answered(&mut self, parts: &[Suspect], now: Millis) {
         self.expire(now);
         for part in parts.iter().copied() {
             if self.answered.len() < MAX_ANSWERED || self.answered.contains_key(&part) {
                 self.answered.insert(part, Answered { at: now, is_own: true });
             }
-            if self.remove(part) {
+            if self.remove(part, now) {
                 self.report_clear(part, now);
             }
         }
     }
 
-    /// Records that a peer saw a request with this prompt part answered.
-    pub fn clear_part(&mut self, id: u64, now: Millis) {
-        let part = Suspect::Part(id);
-        self.remove(part);
-        let is_own = self.answered.get(&part).is_some_and(|answer| answer.is_own && self.is_harmless(part, now));
-        if !is_own && self.answered.len() < MAX_ANSWERED {
-            self.answered.insert(part, Answered { at: now, is_own: false });
+    /// Records that a runner sent a whole answer, which clears the request's `content` of earlier crashes. Later ones count.
+    pub fn note_complete(&mut self, content: Suspect, now: Millis) {
+        if self.remove(content, now) {
+            self.report_clear(content, now);
+        }
+    }
+
+    /// Records that a peer saw a suspect answered.
+    pub fn note_clearance(&mut self, clearance: Clearance, now: Millis) {
+        let suspect = Suspect::from(clearance);
+        let at = now.since(Millis(clearance.age_ms.into()));
+        self.remove(suspect, at);
+        if self.cleared.get(&suspect).is_none_or(|known| known.at < at) {
+            self.cleared.insert(suspect, Answered { at, is_own: false });
+        }
+        let is_own = self.answered.get(&suspect).is_some_and(|answer| answer.is_own && self.is_harmless(suspect, now));
+        if suspect.is_part() && !is_own && self.answered.len() < MAX_ANSWERED {
+            self.answered.insert(suspect, Answered { at, is_own: false });
         }
     }
 
@@ -133,17 +148,16 @@
         let ttl = Millis(period.0 * 2).max(MIN_REPORT_TTL);
         let recent = self.suspects.iter().flat_map(|(suspect, sightings)| {
             let own = sightings.iter().filter(|sighting| sighting.is_own && now.since(sighting.at) < ttl);
-            own.map(|sighting| suspect.crash_of(sighting.runner))
+            own.map(|sighting| Crash { age_ms: age(sighting.at, now), ..suspect.crash_of(sighting.runner) })
         });
         recent.take(MAX_REPORTED).collect()
     }
 
-    /// The ids of suspected parts that answers seen by this daemon cleared recently, for peers that get a heartbeat every
-    /// `period`.
-    pub fn recent_clearances(&mut self, period: Millis, now: Millis) -> Vec<u64> {
+    /// The suspects that answers seen by this daemon cleared recently, for peers that get a heartbeat every `period`.
+    pub fn recent_clearances(&self, period: Millis, now: Millis) -> Vec<Clearance> {
         let ttl = Millis(period.0 * 2).max(MIN_REPORT_TTL);
-        self.cleared.retain(|(at, _)| now.since(*at) < ttl);
-        self.cleared.iter().rev().map(|(_, part)| *part).take(MAX_REPORTED).collect()
+        let recent = self.cleared.iter().filter(|(_, answer)| answer.is_own && now.since(answer.at) < ttl);
+        recent.map(|(suspect, answer)| suspect.clearance(age(answer.at, now))).take(MAX_REPORTED).collect()
     }
 
     /// Whether `suspect` crashes runners, as far as a request that carries `carried` is concerned. A crash for which another
@@ -170,23 +184,24 @@
     }
 
     fn report_clear(&mut self, suspect: Suspect, now: Millis) {
-        if let Suspect::Part(part) = suspect {
-            self.cleared.retain(|(_, known)| *known != part);
-            self.cleared.push((now, part));
-        }
+        self.cleared.insert(suspect, Answered { at: now, is_own: true });
     }
 
-    /// Removes a suspect; returns whether it was one.
-    fn remove(&mut self, suspect: Suspect) -> bool {
-        let Some(sightings) = self.suspects.remove(&suspect) else {
+    /// Removes the crashes of a suspect up to `at`; returns whether there were any.
+    fn remove(&mut self, suspect: Suspect, at: Millis) -> bool {
+        let Some(sightings) = self.suspects.get_mut(&suspect) else {
             return false;
         };
-        for sighting in sightings {
+        let removed: Vec<Sighting> = sightings.extract_if(.., |sighting| sighting.at <= at).collect();
+        if sightings.is_empty() {
+            self.suspects.remove(&suspect);
+        }
+        for sighting in &removed {
             if let Some(others) = self.crashes.get_mut(&sighting.runner) {
                 others.retain(|other| *other != suspect);
             }
         }
-        true
+        !removed.is_empty()
     }
 
     fn expire(&mut self, now: Millis) {
@@ -195,6 +210,7 @@
         }
         self.expired_at = now;
         self.answered.retain(|_, answer| now.since(answer.at) < ANSWER_TTL);
+        self.cleared.retain(|_, answer| now.since(answer.at) < BLOCK_TTL);
         self.suspects.retain(|_, sightings| {
             let ttl = if sightings.len() >= MAX_CRASHES { BLOCK_TTL } else { CRASH_TTL };
             sightings.retain(|sighting| now.since(sighting.at) < ttl);
@@ -210,3 +226,8 @@
         });
     }
 }
+
+/// How long ago `at` was, in milliseconds.
+fn age(at: Millis, now: Millis) -> u32 {
+    u32::try_from(now.since(at).0).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/crash_tracker/suspect.rs
+++ b/crates/gateway/src/crash_tracker/suspect.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::heartbeat::Crash;
+use crate::heartbeat::{Clearance, Crash};
 
 /// What a request carries that may crash runners.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -17,8 +17,16 @@
     /// The message to peers that it was at a runner that crashed.
     pub const fn crash_of(self, runner: u64) -> Crash {
         match self {
-            Suspect::Content(hash) => Crash { suspect: hash, runner, is_part: false },
-            Suspect::Part(id) => Crash { suspect: id, runner, is_part: true },
+            Suspect::Content(hash) => Crash { suspect: hash, runner, is_part: false, age_ms: 0 },
+            Suspect::Part(id) => Crash { suspect: id, runner, is_part: true, age_ms: 0 },
+        }
+    }
+
+    /// The message to peers that an answer cleared it `age_ms` milliseconds ago.
+    pub const fn clearance(self, age_ms: u32) -> Clearance {
+        match self {
+            Suspect::Content(hash) => Clearance { suspect: hash, is_part: false, age_ms },
+            Suspect::Part(id) => Clearance { suspect: id, is_part: true, age_ms },
         }
     }
 
@@ -40,3 +48,9 @@
         if crash.is_part { Suspect::Part(crash.suspect) } else { Suspect::Content(crash.suspect) }
     }
 }
+
+impl From<Clearance> for Suspect {
+    fn from(clearance: Clearance) -> Suspect {
+        if clearance.is_part { Suspect::Part(clearance.suspect) } else { Suspect::Content(clearance.suspect) }
+    }
+}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -188,8 +188,13 @@
             }
         }
         let idle_timeout = idle_timeout(&head);
-        if is_reusable && length != BodyLength::UntilClose {
-            self.return_connection(placement, connection, idle_timeout);
+        if length != BodyLength::UntilClose {
+            if reply.is_signed {
+                self.note_complete();
+            }
+            if is_reusable {
+                self.return_connection(placement, connection, idle_timeout);
+            }
         }
         if head.status >= 500 {
             // Without the runner's signature header the caller would take a 503 for the gateway's own, which says that
--- a/crates/gateway/src/forward/crash.rs
+++ b/crates/gateway/src/forward/crash.rs
@@ -37,28 +37,35 @@
     pub(super) async fn record_crash(&self, placement: &Placement, point: BreakPoint) {
         let (content, parts) = self.content_and_parts();
         let runner = runner_hash(&placement.record.name, placement.record.started_at);
-        let is_counted = !self.job.body.is_empty();
-        self.log_break(placement, point, is_counted);
-        if is_counted {
-            self.gateway.note_crash(content.crash_of(runner), true);
-            if self.gateway.crashes().is_nearly_proven(content) {
-                self.gateway.request_heartbeats();
-            }
-        }
         let now = self.gateway.now();
         let suspicious: Vec<Suspect> = {
             let crashes = self.gateway.crashes();
             parts.iter().filter(|part| !self.is_cleared && crashes.is_suspicious(**part, now)).copied().collect()
         };
-        if suspicious.is_empty()
-            || connect(placement.record.address, CONNECT_TIMEOUT, PathTimeout::default()).await.is_ok()
-        {
-            return;
+        let is_distinct = !self.job.body.is_empty();
+        if is_distinct {
+            self.note_crash(content, runner);
+        }
+        let is_down = !suspicious.is_empty()
+            && connect(placement.record.address, CONNECT_TIMEOUT, PathTimeout::default()).await.is_err();
+        self.log_break(placement, point, is_distinct);
+        if is_down {
+            suspicious.into_iter().for_each(|suspect| self.note_crash(suspect, runner));
         }
-        for part in suspicious {
-            self.gateway.note_crash(part.crash_of(runner), true);
+    }
+
+    fn note_crash(&self, suspect: Suspect, runner: u64) {
+        self.gateway.note_crash(suspect.crash_of(runner), true);
+        if suspect.is_part() || self.gateway.crashes().is_nearly_proven(suspect) {
+            self.gateway.request_heartbeats();
         }
-        self.gateway.request_heartbeats();
+    }
+
+    /// Records a whole answer of a runner, which shows that the request does not crash runners.
+    pub(super) fn note_complete(&mut self) {
+        self.note_answered();
+        let (content, _) = self.content_and_parts();
+        self.gateway.crashes().note_complete(content, self.gateway.now());
     }
 
     fn log_break(&self, placement: &Placement, point: BreakPoint, is_counted: bool) {
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -74,7 +74,7 @@
             return self.interrupted();
         }
         if !is_unframed {
-            self.note_answered();
+            self.note_complete();
         }
         match self.caller.finish(&head).await {
             Ok(()) => AttemptOutcome::Complete,
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -93,6 +93,23 @@
     /// Whether `suspect` is a part's id.
     #[prost(bool, tag = "3")]
     pub is_part: bool,
+    /// How long ago it happened, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
+
+/// A request's content or a part of its prompt that was suspected of a crash and then answered.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct Clearance {
+    /// A hash of the request's content, or the part's id.
+    #[prost(fixed64, tag = "1")]
+    pub suspect: u64,
+    /// Whether `suspect` is a part's id.
+    #[prost(bool, tag = "2")]
+    pub is_part: bool,
+    /// How long ago it was answered, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// A runner that is leaving or gone.
@@ -121,9 +138,9 @@
     /// Crashes that it saw recently.
     #[prost(message, repeated, tag = "4")]
     pub crashes: Vec<Crash>,
-    /// Ids of prompt parts that it saw answered and that were suspected of a crash.
-    #[prost(fixed64, repeated, tag = "9")]
-    pub cleared: Vec<u64>,
+    /// Suspects that it saw answered. Tag 9 had only the ids of prompt parts.
+    #[prost(message, repeated, tag = "10")]
+    pub cleared: Vec<Clearance>,
     /// Runners that are leaving or gone by recent changes in the store.
     #[prost(message, repeated, tag = "8")]
     pub gone: Vec<RunnerLeft>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -169,7 +169,7 @@
         (fleet.own_loads(now), fleet.recent_cache_news(now), fleet.recent_departures(period, now))
     };
     let (crashes, cleared) = {
-        let mut tracker = gateway.crashes();
+        let tracker = gateway.crashes();
         (tracker.recent_crashes(period, now), tracker.recent_clearances(period, now))
     };
     let version = gateway.configuration().map_or(0, |configuration| configuration.version.0);
@@ -243,12 +243,12 @@
             log_event!(Event::RunnerLeft, runner = runner, source = name);
         }
     }
+    for clearance in heartbeat.cleared {
+        gateway.crashes().note_clearance(clearance, now);
+    }
     for crash in heartbeat.crashes {
         gateway.note_crash(crash, false);
     }
-    for part in heartbeat.cleared {
-        gateway.crashes().clear_part(part, now);
-    }
     let Some(source) = address else {
         return;
     };
