Refuse requests without a body that crash runners

What callers saw: the same GET ended runner after runner.

Cause: the content of requests without a body was exempt, since many callers send the same one and a few broken connections would have refused it to all of them. So it was never counted at all.

Evidence: a_request_without_a_body_that_crashes_runners_is_refused failed before: two daemons sent it to eight runners of eight, ten times in all. a_request_without_a_body_is_served_after_runners_reset_it_and_live_on guards the other side.

Why this works: a runner that crashed accepts no connections for a while, one that lost an answer does. The break of a request without a body counts only where the runner accepts none, as with parts of prompts, and a whole answer, which a request of many callers soon gets, clears it everywhere.

--- a/crates/gateway/src/forward/crash.rs
+++ b/crates/gateway/src/forward/crash.rs
@@ -31,24 +31,26 @@
 }
 
 impl<D: Dialect> Forwarder<'_, D> {
-    /// Records that the runner's connection broke during this request. The content of a request without a body is exempt,
-    /// since many callers send the same one; parts of the prompt are, if the request was being answered or the runner
-    /// still accepts connections.
+    /// Records that the runner's connection broke during this request. The content of a request without a body, which many
+    /// callers send alike, counts only if the runner accepts no connections afterwards; so do parts of the prompt, unless
+    /// the request was being answered.
     pub(super) async fn record_crash(&self, placement: &Placement, point: BreakPoint) {
         let (content, parts) = self.content_and_parts();
         let runner = runner_hash(&placement.record.name, placement.record.started_at);
         let now = self.gateway.now();
-        let suspicious: Vec<Suspect> = {
+        let mut suspicious: Vec<Suspect> = {
             let crashes = self.gateway.crashes();
             parts.iter().filter(|part| !self.is_cleared && crashes.is_suspicious(**part, now)).copied().collect()
         };
         let is_distinct = !self.job.body.is_empty();
         if is_distinct {
             self.note_crash(content, runner);
+        } else {
+            suspicious.push(content);
         }
         let is_down = !suspicious.is_empty()
             && connect(placement.record.address, CONNECT_TIMEOUT, PathTimeout::default()).await.is_err();
-        self.log_break(placement, point, is_distinct);
+        self.log_break(placement, point, is_distinct || is_down);
         if is_down {
             suspicious.into_iter().for_each(|suspect| self.note_crash(suspect, runner));
         }
