Fetch peers' crashes when they differ from the known ones

What callers saw: a request that had ended three runners was sent on by each daemon that started later, or that had been cut off, until it had ended three more there.

Cause: heartbeats repeat a crash for three seconds, only from the daemon that saw it, at most 256 of them. Whoever does not hear these never learns of it. The class: state is passed on as events alone, without a way to find that some are missing.

Why this works: each heartbeat carries a digest of all crashes and clearances that the sender knows. Ages order crashes and clearances, so that a list with old crashes brings none back.

Not covered: all daemons that end at the same moment forget together.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -6,7 +6,7 @@
 
 use teaselcroft_parts::Millis;
 
-use crate::heartbeat::{Clearance, Crash};
+use crate::heartbeat::{Clearance, Crash, CrashList};
 pub use suspect::Suspect;
 
 /// A suspect is blocked once it crashed this many runners.
@@ -69,6 +69,8 @@
     answered: HashMap<Suspect, Answered>,
     /// The suspects that answers cleared; crashes before that do not count.
     cleared: HashMap<Suspect, Answered>,
+    /// The digest of crashes and clearances, unless they changed since it was computed.
+    digest: Option<u64>,
     expired_at: Millis,
 }
 
@@ -89,6 +91,7 @@
         let sightings = self.suspects.entry(suspect).or_default();
         if sightings.iter().all(|known| known.runner != crash.runner) {
             sightings.push(Sighting { runner: crash.runner, at, is_own });
+            self.digest = None;
             self.crashes.entry(crash.runner).or_default().push(suspect);
         }
     }
@@ -121,6 +124,7 @@
         self.remove(suspect, at);
         if self.cleared.get(&suspect).is_none_or(|known| known.at < at) {
             self.cleared.insert(suspect, Answered { at, is_own: false });
+            self.digest = None;
         }
         let is_own = self.answered.get(&suspect).is_some_and(|answer| answer.is_own && self.is_harmless(suspect, now));
         if suspect.is_part() && !is_own && self.answered.len() < MAX_ANSWERED {
@@ -160,6 +164,32 @@
         recent.map(|(suspect, answer)| suspect.clearance(age(answer.at, now))).take(MAX_REPORTED).collect()
     }
 
+    /// All known crashes and clearances, for a peer that may have missed some.
+    pub fn all(&self, now: Millis) -> CrashList {
+        let crashes = self.suspects.iter().flat_map(|(suspect, sightings)| {
+            let crash =
+                |sighting: &Sighting| Crash { age_ms: age(sighting.at, now), ..suspect.crash_of(sighting.runner) };
+            sightings.iter().map(crash)
+        });
+        let cleared = self.cleared.iter().map(|(suspect, answer)| suspect.clearance(age(answer.at, now)));
+        CrashList { crashes: crashes.collect(), cleared: cleared.collect() }
+    }
+
+    /// A hash of the known crashes and clearances without their times, 0 if there are none.
+    pub fn digest(&mut self) -> u64 {
+        if let Some(digest) = self.digest {
+            return digest;
+        }
+        let crashes = self
+            .suspects
+            .iter()
+            .flat_map(|(suspect, sightings)| sightings.iter().map(|sighting| hash_of(*suspect, Some(sighting.runner))));
+        let cleared = self.cleared.keys().map(|suspect| hash_of(*suspect, None));
+        let digest = crashes.chain(cleared).fold(0, |sum, hash| sum ^ hash);
+        self.digest = Some(digest);
+        digest
+    }
+
     /// Whether `suspect` crashes runners, as far as a request that carries `carried` is concerned. A crash for which another
     /// part is a candidate that this request does not carry says little: only such requests tell the two apart.
     fn is_proven(&self, suspect: Suspect, carried: &[Suspect], now: Millis) -> bool {
@@ -185,6 +215,7 @@
 
     fn report_clear(&mut self, suspect: Suspect, now: Millis) {
         self.cleared.insert(suspect, Answered { at: now, is_own: true });
+        self.digest = None;
     }
 
     /// Removes the crashes of a suspect up to `at`; returns whether there were any.
@@ -196,6 +227,7 @@
         if sightings.is_empty() {
             self.suspects.remove(&suspect);
         }
+        self.digest = None;
         for sighting in &removed {
             if let Some(others) = self.crashes.get_mut(&sighting.runner) {
                 others.retain(|other| *other != suspect);
@@ -209,6 +241,7 @@
             return;
         }
         self.expired_at = now;
+        self.digest = None;
         self.answered.retain(|_, answer| now.since(answer.at) < ANSWER_TTL);
         self.cleared.retain(|_, answer| now.since(answer.at) < BLOCK_TTL);
         self.suspects.retain(|_, sightings| {
@@ -231,3 +264,11 @@
 fn age(at: Millis, now: Millis) -> u32 {
     u32::try_from(now.since(at).0).unwrap_or(u32::MAX)
 }
+
+/// The hash of a crash at `runner`, or of a clearance.
+fn hash_of(suspect: Suspect, runner: Option<u64>) -> u64 {
+    let (Suspect::Content(id) | Suspect::Part(id)) = suspect;
+    let kind = u64::from(suspect.is_part()) + u64::from(runner.is_some()) * 2;
+    let bytes = [id, runner.unwrap_or(0), kind].map(u64::to_le_bytes);
+    rapidhash::v3::rapidhash_v3(bytes.as_flattened())
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::gateway::Gateway;
 use crate::http::{Connection, Reply, RequestHead};
 use crate::http_server::{accept_connections, listen, serve};
-use crate::peers::{CONFIGURATION_PATH, RUNNERS_PATH, receive_datagrams, send_heartbeats};
+use crate::peers::{CONFIGURATION_PATH, CRASHES_PATH, RUNNERS_PATH, receive_datagrams, send_heartbeats};
 use crate::placer::report_loads;
 use crate::run::RunError;
 use crate::store::{LeaseId, Store};
@@ -166,6 +166,10 @@
             let list = gateway.runner_index().list();
             ("application/x-protobuf", list.map(|list| list.encode_to_vec()))
         }
+        CRASHES_PATH => {
+            let list = gateway.crashes().all(gateway.now());
+            ("application/x-protobuf", Some(list.encode_to_vec()))
+        }
         _ => return Reply::text(404, "no such path\n"),
     };
     match body {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -37,6 +37,8 @@
     PeerForgotten = 625;
     /// No peer is heard; address answers still name this many peers that were ready last.
     AddressesUnheard = 626;
+    /// A peer's known crashes were fetched, since they differed from the known ones.
+    CrashesFetched = 627;
     /// A configuration became active.
     ConfigApplied = 630;
     /// A peer states a newer configuration than the active one; it is fetched unless the store delivers it first.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,11 +10,12 @@
 
 use crate::body_memory::BodyMemory;
 use crate::connection_pool::ConnectionPool;
+use crate::crash_sync::CrashSync;
 use crate::crash_tracker::{CrashTracker, Suspect};
 use crate::dialect::Dialect;
 use crate::discovery::RunnerIndex;
 use crate::fleet::Fleet;
-use crate::heartbeat::{Crash, MemberRecord, Phase};
+use crate::heartbeat::{Crash, CrashList, MemberRecord, Phase};
 use crate::metrics::Metrics;
 use crate::placer::Placer;
 use crate::retry_limiter::RetryLimiter;
@@ -50,6 +51,7 @@
     retries: Mutex<RetryLimiter>,
     crashes: Mutex<CrashTracker>,
     crash_noted: event_listener::Event,
+    crash_sync: Mutex<CrashSync>,
     /// The client side of placement: asks the placement leader for a runner.
     pub placer: Placer,
     /// Metrics that the metrics port serves.
@@ -111,6 +113,7 @@
             retries: Mutex::new(RetryLimiter::new(settings.bounds.clone())),
             crashes: Mutex::default(),
             crash_noted: event_listener::Event::new(),
+            crash_sync: Mutex::default(),
             placer: Placer::default(),
             metrics: Metrics::default(),
             body_memory: BodyMemory::new(settings.memory_mb * 1_000_000 / BODY_MEMORY_DIVISOR),
@@ -215,6 +218,25 @@
         lock(&self.crashes)
     }
 
+    /// Locks the decision when to fetch peers' known crashes.
+    pub fn crash_sync(&self) -> MutexGuard<'_, CrashSync> {
+        lock(&self.crash_sync)
+    }
+
+    /// Adds all crashes and clearances that a peer knows; returns how many there are.
+    pub fn merge_crashes(&self, list: CrashList) -> usize {
+        let now = self.now();
+        let count = list.crashes.len();
+        // Clearances first: on a daemon that runs for a shorter time than both, a crash after a clearance has its age.
+        for clearance in list.cleared {
+            self.crashes().note_clearance(clearance, now);
+        }
+        for crash in list.crashes {
+            self.note_crash(crash, false);
+        }
+        count
+    }
+
     /// Records a crash; `is_own` says that this daemon saw it itself. Requests that wait for their answers check whether
     /// they are blocked by now.
     pub fn note_crash(&self, crash: Crash, is_own: bool) {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -112,6 +112,17 @@
     pub age_ms: u32,
 }
 
+/// All crashes and clearances that a daemon knows.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct CrashList {
+    /// The crashes.
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: Vec<Crash>,
+    /// The suspects that answers cleared.
+    #[prost(message, repeated, tag = "2")]
+    pub cleared: Vec<Clearance>,
+}
+
 /// A runner that is leaving or gone.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct RunnerLeft {
@@ -141,6 +152,9 @@
     /// Suspects that it saw answered. Tag 9 had only the ids of prompt parts.
     #[prost(message, repeated, tag = "10")]
     pub cleared: Vec<Clearance>,
+    /// A hash of all crashes and clearances that it knows, 0 if there are none.
+    #[prost(fixed64, tag = "11")]
+    pub crash_digest: u64,
     /// Runners that are leaving or gone by recent changes in the store.
     #[prost(message, repeated, tag = "8")]
     pub gone: Vec<RunnerLeft>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod configuration;
 mod connection_pool;
+mod crash_sync;
 mod crash_tracker;
 mod daemon;
 mod dialect;
@@ -40,6 +41,7 @@
 pub mod store;
 
 pub use configuration::{CallerLimits, ConfigVersion, Configuration, Customer, Engine, Priority, Service};
+pub use crash_sync::CrashSync;
 pub use crash_tracker::{CrashTracker, Suspect};
 pub use daemon::GatewayDaemon;
 pub use dialect::{CallerFields, Dialect, RunnerFields, RunnerReply};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 
 use crate::dialect::Dialect;
 use crate::gateway::Gateway;
-use crate::heartbeat::{Content, Datagram, Heartbeat, MemberRecord, send};
+use crate::heartbeat::{Content, CrashList, Datagram, Heartbeat, MemberRecord, send};
 use crate::http_client::HttpClient;
 use crate::placer::answer_query;
 use crate::roster::{FAR_ROUNDS, peer_address};
@@ -46,6 +46,9 @@
 /// The path at which a daemon serves its configuration to peers.
 pub const CONFIGURATION_PATH: &str = "/configuration";
 
+/// The path at which a daemon serves the crashes that it knows to peers.
+pub const CRASHES_PATH: &str = "/crashes";
+
 /// Sends heartbeats every interval, or at once when news is urgent, and drops silent peers; never returns.
 pub async fn send_heartbeats<D: Dialect>(gateway: Arc<Gateway<D>>, socket: Arc<Async<UdpSocket>>) {
     let mut last = gateway.now();
@@ -59,6 +62,7 @@
             (roster.fell_silent(now, last), roster.forget(now))
         };
         for name in forgotten {
+            gateway.crash_sync().forget(&name);
             log_event!(Event::PeerForgotten, peer = name);
         }
         for name in silent {
@@ -168,12 +172,23 @@
         let mut fleet = gateway.fleet();
         (fleet.own_loads(now), fleet.recent_cache_news(now), fleet.recent_departures(period, now))
     };
-    let (crashes, cleared) = {
-        let tracker = gateway.crashes();
-        (tracker.recent_crashes(period, now), tracker.recent_clearances(period, now))
+    let (crashes, cleared, crash_digest) = {
+        let mut tracker = gateway.crashes();
+        (tracker.recent_crashes(period, now), tracker.recent_clearances(period, now), tracker.digest())
     };
     let version = gateway.configuration().map_or(0, |configuration| configuration.version.0);
-    (Heartbeat { member: Some(member), version, loads, crashes, cleared, gone, caches, members: Vec::new() }, members)
+    let heartbeat = Heartbeat {
+        member: Some(member),
+        version,
+        loads,
+        crashes,
+        cleared,
+        crash_digest,
+        gone,
+        caches,
+        members: Vec::new(),
+    };
+    (heartbeat, members)
 }
 
 /// Handles datagrams of other daemons; never returns.
@@ -252,6 +267,10 @@
     let Some(source) = address else {
         return;
     };
+    let own_digest = gateway.crashes().digest();
+    if gateway.crash_sync().is_due(&name, heartbeat.crash_digest, own_digest, now) {
+        executor.spawn(fetch_crashes(gateway.clone(), name, source)).detach();
+    }
     // The store may deliver it in the meantime.
     let delay = gateway.configuration().map_or(Millis(0), |_| FETCH_DELAY);
     fetch_newer(gateway, source, heartbeat.version, delay, executor, fetching);
@@ -299,3 +318,21 @@
         Err(error) => log::debug!("{source} did not send its configuration: {error}"),
     }
 }
+
+/// Fetches the crashes that a peer knows.
+async fn fetch_crashes<D: Dialect>(gateway: Arc<Gateway<D>>, peer: String, source: SocketAddr) {
+    let reply = HttpClient::new(source).call("GET", CRASHES_PATH, &[], FETCH_TIMEOUT).await;
+    let list = reply.ok().filter(|reply| reply.status == 200).and_then(|reply| CrashList::decode(&*reply.body).ok());
+    let count = match list {
+        Some(list) => Some(gateway.merge_crashes(list)),
+        None => {
+            gateway.crash_sync().fetch_failed(&peer);
+            None
+        }
+    };
+    let digest = gateway.crashes().digest();
+    match count {
+        Some(count) => log_event!(Event::CrashesFetched, peer = peer, crashes = count, digest = format!("{digest:x}")),
+        None => log::debug!("{source} did not send the crashes that it knows"),
+    }
+}
