Report the crashes of likely suspects before those of bystanders

A request that ends a runner with many others at it is lost among them in the heartbeats, so that peers go on sending it.

Cause: a heartbeat holds 256 crashes, and took them in the order of a hash map. A runner with 64 requests accuses up to a few hundred contents and parts.

Evidence: heartbeats_carry_the_crashes_that_may_block_a_request_before_those_of_bystanders failed before (0 of 3 reported, beside 1,200 others).

Why this works: suspects that crashed several runners go first, then the newest.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -2,6 +2,7 @@
 
 mod suspect;
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use teaselcroft_parts::Millis;
@@ -154,7 +155,13 @@
             let own = sightings.iter().filter(|sighting| sighting.is_own && now.since(sighting.at) < ttl);
             own.map(|sighting| Crash { age_ms: age(sighting.at, now), ..suspect.crash_of(sighting.runner) })
         });
-        recent.take(MAX_REPORTED).collect()
+        let mut crashes: Vec<Crash> = recent.collect();
+        crashes.sort_by_cached_key(|crash| {
+            let seen = self.suspects.get(&Suspect::from(*crash)).map_or(0, Vec::len);
+            (Reverse(seen), crash.age_ms)
+        });
+        crashes.truncate(MAX_REPORTED);
+        crashes
     }
 
     /// The suspects that answers seen by this daemon cleared recently, for peers that get a heartbeat every `period`.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -146,6 +146,27 @@
     assert!(trackers[1].is_blocked(&[content], Millis(700)), "three crashes after the answer");
 }
 
+/// Lets `runner` crash with `count` other requests at it.
+fn crash_beside_bystanders(tracker: &mut CrashTracker, runner: u64, count: u64) {
+    for bystander in 0..count {
+        tracker.note(Suspect::Content(runner * 1_000 + bystander).crash_of(runner), true, Millis(runner * 100));
+    }
+}
+
+#[test]
+fn heartbeats_carry_the_crashes_that_may_block_a_request_before_those_of_bystanders() {
+    let content = Suspect::Content(7);
+    let mut tracker = CrashTracker::default();
+    for runner in 1..=3 {
+        crash_beside_bystanders(&mut tracker, runner, 400);
+        tracker.note(content.crash_of(runner), true, Millis(runner * 100));
+    }
+
+    let reported = tracker.recent_crashes(Millis(120), Millis(400));
+
+    assert_eq!(reported.iter().filter(|crash| Suspect::from(**crash) == content).count(), 3);
+}
+
 #[test]
 fn callers_get_the_addresses_of_live_daemons_in_their_zone() {
     let mut roster = Roster::new(member("a", "fayon", 1));
