Drop the least suspect when the crash tracker is full

After some runners ended with many requests at them, a request that crashes runners was never refused.

Cause: at 4,096 suspects further ones were ignored until others expired. Nearly all of these are bystanders with one crash. The class: a bound that keeps what came first rather than what matters.

Evidence: a_request_is_blocked_although_bystanders_fill_the_tracker failed before (not blocked after three crashes).

Why this works: a full tracker drops the suspects with the fewest crashes, the oldest of them first. What crashes runners again and again is never among them for long.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -34,9 +34,12 @@
 /// The most crashes, and the most clearances, in one heartbeat.
 const MAX_REPORTED: usize = 256;
 
-/// The most suspects tracked; crashes of further ones are ignored until others expire.
+/// The most suspects tracked; beyond that, those with the fewest crashes are dropped, the oldest first.
 const MAX_SUSPECTS: usize = 4_096;
 
+/// How many suspects are dropped at once, so that the next drop is some time off.
+const DROPPED_SUSPECTS: usize = 512;
+
 /// The most answered prompt parts that are remembered; later ones are not until others expire.
 const MAX_ANSWERED: usize = 16_384;
 
@@ -86,7 +89,9 @@
         }
         match self.answered.get(&suspect) {
             Some(answer) if answer.is_own && self.is_harmless(suspect, now) => return self.report_clear(suspect, now),
-            _ if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&suspect) => return,
+            _ if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&suspect) => {
+                self.drop_least_suspect()
+            }
             _ => {}
         }
         let sightings = self.suspects.entry(suspect).or_default();
@@ -220,6 +225,18 @@
         self.answered.get(&suspect).is_some_and(|answer| now.since(answer.at) < ANSWER_TTL)
     }
 
+    fn drop_least_suspect(&mut self) {
+        let last_at = |sightings: &[Sighting]| sightings.iter().map(|sighting| sighting.at).max();
+        let mut ranked: Vec<(usize, Option<Millis>, Suspect)> =
+            self.suspects.iter().map(|(suspect, seen)| (seen.len(), last_at(seen), *suspect)).collect();
+        ranked.select_nth_unstable_by_key(DROPPED_SUSPECTS, |(count, at, _)| (*count, *at));
+        ranked.truncate(DROPPED_SUSPECTS);
+        for (_, at, suspect) in ranked {
+            self.remove(suspect, at.unwrap_or_default());
+        }
+        log::debug!("dropped {DROPPED_SUSPECTS} suspects of crashes; {} are left", self.suspects.len());
+    }
+
     fn report_clear(&mut self, suspect: Suspect, now: Millis) {
         self.cleared.insert(suspect, Answered { at: now, is_own: true });
         self.digest = None;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -167,6 +167,21 @@
     assert_eq!(reported.iter().filter(|crash| Suspect::from(**crash) == content).count(), 3);
 }
 
+#[test]
+fn a_request_is_blocked_although_bystanders_fill_the_tracker() {
+    let content = Suspect::Content(7);
+    let mut tracker = CrashTracker::default();
+
+    for runner in 1..=30 {
+        crash_beside_bystanders(&mut tracker, runner, 400);
+        if runner > 20 && runner % 3 == 0 {
+            tracker.note(content.crash_of(runner), true, Millis(runner * 100));
+        }
+    }
+
+    assert!(tracker.is_blocked(&[content], Millis(3_100)));
+}
+
 #[test]
 fn callers_get_the_addresses_of_live_daemons_in_their_zone() {
     let mut roster = Roster::new(member("a", "fayon", 1));
