Count crashes for ten minutes

A request that returns every half minute or less often ends a runner each time and is never refused.

Cause: a crash counted for 60 s, so that the first had expired before the third came.

Evidence: a_request_that_returns_seldom_is_blocked_after_crashing_three_runners failed before (crashes 100 s apart).

Why this works: crashes count for ten minutes, each for itself, so that a suspect is not blocked for ever, and one that crashes a runner again after that is blocked at once. The short time kept sound requests from adding up broken connections; since a whole answer does that.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -16,11 +16,8 @@
 /// Of these crashes, at least this many have no other explanation.
 const MIN_UNEXPLAINED: usize = 2;
 
-/// How long a crash counts.
-const CRASH_TTL: Millis = Millis(60_000);
-
-/// How long a crash counts of a suspect that has crashed `MAX_CRASHES` runners.
-const BLOCK_TTL: Millis = Millis(300_000);
+/// How long a crash counts, unless an answer clears the suspect before.
+const CRASH_TTL: Millis = Millis(600_000);
 
 /// For this long after a request was answered, the parts of its prompt are known to be harmless.
 const ANSWER_TTL: Millis = Millis(10_000);
@@ -267,10 +264,9 @@
         self.expired_at = now;
         self.digest = None;
         self.answered.retain(|_, answer| now.since(answer.at) < ANSWER_TTL);
-        self.cleared.retain(|_, answer| now.since(answer.at) < BLOCK_TTL);
+        self.cleared.retain(|_, answer| now.since(answer.at) < CRASH_TTL);
         self.suspects.retain(|_, sightings| {
-            let ttl = if sightings.len() >= MAX_CRASHES { BLOCK_TTL } else { CRASH_TTL };
-            sightings.retain(|sighting| now.since(sighting.at) < ttl);
+            sightings.retain(|sighting| now.since(sighting.at) < CRASH_TTL);
             !sightings.is_empty()
         });
         let suspects = &self.suspects;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -182,6 +182,21 @@
     assert!(tracker.is_blocked(&[content], Millis(3_100)));
 }
 
+#[test]
+fn a_request_that_returns_seldom_is_blocked_after_crashing_three_runners() {
+    let content = Suspect::Content(7);
+    let mut tracker = CrashTracker::default();
+
+    for runner in 1..=3 {
+        tracker.note(content.crash_of(runner), true, Millis(runner * 100_000));
+    }
+    let is_blocked = tracker.is_blocked(&[content], Millis(400_000));
+    tracker.note(content.crash_of(4), true, Millis(650_000));
+
+    assert!(is_blocked);
+    assert!(tracker.is_blocked(&[content], Millis(750_000)), "one more crash blocks it again");
+}
+
 #[test]
 fn callers_get_the_addresses_of_live_daemons_in_their_zone() {
     let mut roster = Roster::new(member("a", "fayon", 1));
