Do not block a prompt part whose crashes are all of one content

On a quiet route a request that comes again and crashes runners blocked the parts that its prompt shares with sound requests.

Cause: parts explained each other's crashes, contents explained none. The same content at all crashes says that it is to blame; a part that crashes runners does so with other contents too.

Evidence: a_repeated_request_that_crashes_runners_does_not_block_its_prompt_parts_for_others failed before. other_parts_at_the_same_runners_do_not_hide_a_request_for_long passed before: it rules out that the explanation by other parts hides a request for more than two further crashes.

Why this works: a part is admitted for other contents while one content was at all of its crashes. The next request with it decides: an answer clears the part, a crash without that content blocks it.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -200,9 +200,10 @@
     }
 
     /// Whether `suspect` crashes runners, as far as a request that carries `carried` is concerned. A crash for which another
-    /// part is a candidate that this request does not carry says little: only such requests tell the two apart.
+    /// part is a candidate that this request does not carry says little: only such requests tell the two apart. A part is
+    /// not blocked while all its crashes are those of one content.
     fn is_proven(&self, suspect: Suspect, carried: &[Suspect], now: Millis) -> bool {
-        if !self.is_candidate(suspect, now) {
+        if !self.is_candidate(suspect, now) || suspect.is_part() && self.has_one_content(suspect, carried) {
             return false;
         }
         let is_explained = |sighting: &&Sighting| {
@@ -213,6 +214,16 @@
         sightings.len() - sightings.iter().filter(is_explained).count() >= MIN_UNEXPLAINED
     }
 
+    /// Whether one content that is not among the `carried` suspects was at all runners that crashed with `part`.
+    fn has_one_content(&self, part: Suspect, carried: &[Suspect]) -> bool {
+        let suspects_at = |sighting: &Sighting| self.crashes.get(&sighting.runner).map_or(&[][..], Vec::as_slice);
+        let Some((first, later)) = self.suspects.get(&part).and_then(|sightings| sightings.split_first()) else {
+            return false;
+        };
+        let others = suspects_at(first).iter().filter(|other| !other.is_part() && !carried.contains(other));
+        others.into_iter().any(|other| later.iter().all(|sighting| suspects_at(sighting).contains(other)))
+    }
+
     fn is_candidate(&self, suspect: Suspect, now: Millis) -> bool {
         let crashes = self.suspects.get(&suspect).map_or(0, Vec::len);
         crashes >= MAX_CRASHES && !self.is_harmless(suspect, now)
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -197,6 +197,43 @@
     assert!(tracker.is_blocked(&[content], Millis(750_000)), "one more crash blocks it again");
 }
 
+#[test]
+fn a_repeated_request_that_crashes_runners_does_not_block_its_prompt_parts_for_others() {
+    let (content, part) = (Suspect::Content(7), Suspect::Part(9));
+    let sound = [Suspect::Content(8), part];
+    let mut tracker = CrashTracker::default();
+    for runner in 1..=4 {
+        tracker.note(content.crash_of(runner), true, Millis(runner * 100));
+        tracker.note(part.crash_of(runner), true, Millis(runner * 100));
+    }
+
+    let (is_repeat_blocked, is_sound_blocked) =
+        (tracker.is_blocked(&[content, part], Millis(500)), tracker.is_blocked(&sound, Millis(500)));
+    tracker.note(sound[0].crash_of(5), true, Millis(600));
+    tracker.note(part.crash_of(5), true, Millis(600));
+
+    assert!(is_repeat_blocked && !is_sound_blocked);
+    assert!(
+        tracker.is_blocked(&[Suspect::Content(10), part], Millis(700)),
+        "the part crashes runners without that content"
+    );
+}
+
+#[test]
+fn other_parts_at_the_same_runners_do_not_hide_a_request_for_long() {
+    let (content, other) = (Suspect::Content(7), Suspect::Part(9));
+    let mut tracker = CrashTracker::default();
+    for runner in 1..=3 {
+        tracker.note(content.crash_of(runner), true, Millis(runner * 100));
+        tracker.note(other.crash_of(runner), true, Millis(runner * 100));
+    }
+    for runner in 4..=5 {
+        tracker.note(content.crash_of(runner), true, Millis(runner * 100));
+    }
+
+    assert!(tracker.is_blocked(&[content], Millis(600)), "five crashes: three, and fewer than three more");
+}
+
 #[test]
 fn callers_get_the_addresses_of_live_daemons_in_their_zone() {
     let mut roster = Roster::new(member("a", "fayon", 1));
