Log the rate limits that runners state

The dialect decodes the header of an answer, the fleet keeps the last statement of each runner, and event 646 names each change. No decision uses it yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,7 +5,7 @@
 use teaselcroft_parts::{CustomerName, Millis, RunnerName};
 
 use crate::http::Fields;
-use crate::{Configuration, Priority, Prompt, RunnerRecord};
+use crate::{Configuration, Priority, Prompt, RequestRate, RunnerRecord};
 
 /// The platform's header fields of a caller's request, decoded.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -50,6 +50,8 @@
     pub is_signed: bool,
     /// Whether the runner states that it did not execute the request.
     pub not_run: bool,
+    /// The requests that the runner takes from all daemons together, if it states a limit.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// The interface to one platform's header names, paths and wire formats.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -55,6 +55,8 @@
     RunnerBrokeOff = 644;
     /// A runner's bytes are no answer or do not end; its connection is closed.
     AnswerCutOff = 645;
+    /// A runner states another limit on requests per second from all daemons together, or none any more.
+    RunnerLimited = 646;
     /// A request was sent to a runner.
     Placed = 650;
     /// An attempt failed: the runner was unreachable, declined, or gave no complete usable answer.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod cache_map;
+mod limit_statement;
 mod load;
 mod peer_loads;
 mod placement;
@@ -15,12 +16,12 @@
 use slotmap::{SlotMap, new_key_type};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
 
-use crate::Prompt;
-use crate::RunnerRecord;
 use crate::heartbeat::{CacheNews, RunnerLeft, RunnerLoad};
 use crate::store::Revision;
+use crate::{Prompt, RequestRate, RunnerRecord};
 
 use cache_map::{CacheMap, shared_prefixes};
+use limit_statement::LimitStatement;
 pub use load::Load;
 use peer_loads::PeerLoads;
 pub use placement::{Choice, Placement};
@@ -235,6 +236,22 @@
         }
     }
 
+    /// Records the rate limit that a runner states in an answer to a request sent at `sent_at`, or that it states none.
+    /// Returns whether the limit changed. An answer without a limit to a request from before the last statement says
+    /// nothing: answers on different connections may overtake each other.
+    pub fn note_limit(&mut self, key: RunnerKey, rate: Option<RequestRate>, sent_at: Millis, now: Millis) -> bool {
+        let Some(state) = self.runners.get_mut(key) else {
+            return false;
+        };
+        let known = state.limit.and_then(|statement| statement.rate);
+        let is_outdated = rate.is_none() && state.limit.is_none_or(|statement| statement.at >= sent_at);
+        if is_outdated {
+            return false;
+        }
+        state.limit = Some(LimitStatement { rate, at: now });
+        known != rate
+    }
+
     /// Avoids a runner that refused or broke a connection, with exponential backoff; returns for how long.
     pub fn avoid(&mut self, key: RunnerKey, now: Millis) -> Millis {
         let Some(state) = self.runners.get_mut(key) else {
--- a/crates/gateway/src/fleet/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -5,6 +5,7 @@
 use teaselcroft_parts::Millis;
 
 use super::Load;
+use super::limit_statement::LimitStatement;
 use super::placement::seeded_hash;
 use super::pressure::Pressure;
 use crate::RunnerRecord;
@@ -30,6 +31,8 @@
     pub peer_load: Load,
     /// Prompt tokens that it was recently sent to prefill.
     pub pressure: Pressure,
+    /// What it stated last about the rate of requests that it takes; `None` if it never had a limit.
+    pub limit: Option<LimitStatement>,
     /// Consecutive refused or broken connections.
     pub failures: u32,
     /// The end of its current avoidance, zero if it answered since.
@@ -46,6 +49,7 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             pressure: Pressure::default(),
+            limit: None,
             failures: 0,
             avoided_until: Millis(0),
         }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -102,6 +102,7 @@
             self.gateway.fleet().note_cached(placement.key, prompt, self.gateway.now());
         }
         let message = self.encode(placement);
+        let sent_at = self.gateway.now();
         self.caller.set_dispatched(true);
         self.executions += 1;
         let written = AtomicBool::new(false);
@@ -132,6 +133,9 @@
         };
         self.gateway.fleet().answered(placement.key);
         let is_reusable = written.load(Ordering::Relaxed);
+        if !self.gateway.dialect.is_misdirected(head.status) {
+            self.note_limit(placement, &reply, sent_at);
+        }
         if reply.not_run || self.gateway.dialect.is_misdirected(head.status) {
             self.executions -= 1;
             self.caller.set_dispatched(self.executions > 0);
@@ -157,6 +161,14 @@
         self.relay_buffered(placement, connection, head, reply, length, is_reusable).await
     }
 
+    fn note_limit(&self, placement: &Placement, reply: &RunnerReply, sent_at: Millis) {
+        let is_changed = self.gateway.fleet().note_limit(placement.key, reply.rate_limit, sent_at, self.gateway.now());
+        if is_changed {
+            let limit = reply.rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+            log_event!(Event::RunnerLimited, runner = placement.record.name, limit = limit, source = "runner");
+        }
+    }
+
     async fn relay_buffered(
         &mut self,
         placement: &Placement,
