Keep runners' rate limits over all daemons together

What callers saw: nothing at once; a runner in need got far more requests than the limit that it had stated, and gets slower for everybody.

Cause: nothing read the limit. The class: a bound for the sum of all daemons, which no daemon can keep by itself.

Why this works: heartbeats tell all daemons the last statement of each runner, at once when it changes, with its age. Only the placement leader, which places the prompts of all daemons already, sends to a runner with a limit or grants it to others, from a token bucket that fills with three quarters of the limit; two leaders at once stay within what is allowed. Every send is placed, so that retries and resumed streams count. A daemon that places by itself uses other runners, and asks the leader for a request without a prompt if none is left. What fits nowhere is refused as not run. A limit ends with an answer without one to a request that was sent after the last statement; one that restarts begins without.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The known runners, their load and likely cache contents, and the choice of a runner for each request.
 
 mod admission;
+mod allowance;
 mod cache_map;
 mod limit_statement;
 mod load;
@@ -16,7 +17,7 @@
 use slotmap::{SlotMap, new_key_type};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
 
-use crate::heartbeat::{CacheNews, RunnerLeft, RunnerLoad};
+use crate::heartbeat::{CacheNews, RunnerLeft, RunnerLimit, RunnerLoad};
 use crate::store::Revision;
 use crate::{Prompt, RequestRate, RunnerRecord};
 
@@ -243,13 +244,40 @@
         let Some(state) = self.runners.get_mut(key) else {
             return false;
         };
-        let known = state.limit.and_then(|statement| statement.rate);
         let is_outdated = rate.is_none() && state.limit.is_none_or(|statement| statement.at >= sent_at);
-        if is_outdated {
-            return false;
+        !is_outdated && state.set_limit(LimitStatement { rate, at: now, is_own: true }, now)
+    }
+
+    /// Records rate limits that runners stated to a peer; returns the runners whose limit changed by it.
+    pub fn apply_peer_limits(&mut self, limits: &[RunnerLimit], now: Millis) -> Vec<(RunnerName, Option<RequestRate>)> {
+        let mut changed = Vec::new();
+        for limit in limits {
+            let Some(state) = self.hashes.get(&limit.runner).and_then(|key| self.runners.get_mut(*key)) else {
+                continue;
+            };
+            let Ok(rate) = limit.per_second.map(RequestRate::try_from).transpose() else {
+                log::debug!("ignored a peer's rate limit that is no rate");
+                continue;
+            };
+            let at = now.since(Millis(limit.age_ms.into()));
+            let is_newer = state.limit.is_none_or(|known| at > known.at);
+            if is_newer && state.set_limit(LimitStatement { rate, at, is_own: false }, now) {
+                changed.push((state.record.name.clone(), rate));
+            }
+        }
+        changed
+    }
+
+    /// The rate limits that runners stated to this daemon, for its heartbeats.
+    pub fn own_limits(&self, now: Millis) -> Vec<RunnerLimit> {
+        self.runners.values().filter_map(|state| state.limit?.report(state.hash, now)).collect()
+    }
+
+    /// Counts a request that this daemon, as the placement leader, sends to a runner that it chose for itself.
+    pub fn take_allowance(&mut self, key: RunnerKey, now: Millis) {
+        if let Some(state) = self.runners.get_mut(key) {
+            state.take_allowance(now);
         }
-        state.limit = Some(LimitStatement { rate, at: now });
-        known != rate
     }
 
     /// Avoids a runner that refused or broke a connection, with exponential backoff; returns for how long.
@@ -289,6 +317,7 @@
         let (hash, load) = (state.hash, Load { requests: 1, prefill_tokens });
         state.peer_load = state.peer_load + load;
         state.pressure.add(prefill_tokens, now);
+        state.take_allowance(now);
         self.peers.entry(peer.to_owned()).or_default().grant(number, hash, load, now);
     }
 
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -73,21 +73,24 @@
 }
 
 impl Fleet {
-    /// Chooses the runner for a request. Avoided runners are used only if no other runner is left.
+    /// Chooses the runner for a request. Avoided runners are used only if no other runner is left, those whose rate limit
+    /// is used up not at all.
     pub fn choose(&self, request: &PlacementRequest<'_>, now: Millis) -> Choice {
         let keys = self.services.get(request.service).map_or(&[][..], Vec::as_slice);
-        let usable = |avoided: bool| {
-            keys.iter()
-                .map(|key| (*key, &self.runners[*key]))
-                .filter(|(_, state)| state.record.is_ready && !request.tried.contains(&state.record.name))
-                .filter(|(_, state)| (state.avoided_until > now) == avoided)
-                .collect::<Vec<_>>()
-        };
-        let healthy = usable(false);
-        let candidates = if healthy.is_empty() { usable(true) } else { healthy };
-        if candidates.is_empty() {
+        let ready: Vec<(RunnerKey, &RunnerState)> = keys
+            .iter()
+            .map(|key| (*key, &self.runners[*key]))
+            .filter(|(_, state)| state.record.is_ready && !request.tried.contains(&state.record.name))
+            .collect();
+        if ready.is_empty() {
             return Choice::NoRunner;
         }
+        let within_limit = ready.into_iter().filter(|(_, state)| state.is_within_limit(request.uses_limited, now));
+        let (avoided, healthy): (Vec<_>, Vec<_>) = within_limit.partition(|(_, state)| state.avoided_until > now);
+        let candidates = if healthy.is_empty() { avoided } else { healthy };
+        if candidates.is_empty() {
+            return Choice::Full;
+        }
         let placement = match request.prompt {
             Some(prompt) => self.choose_engine(request, prompt, candidates, now),
             None => self.choose_plain(candidates),
--- a/crates/gateway/src/fleet/placement_request.rs
+++ b/crates/gateway/src/fleet/placement_request.rs
@@ -19,6 +19,9 @@
     pub target: Millis,
     /// The runners that earlier attempts were sent to; they are not chosen again.
     pub tried: &'a [RunnerName],
+    /// Whether a runner with a rate limit may be chosen; only the placement leader does, since it knows what all daemons
+    /// send there.
+    pub uses_limited: bool,
 }
 
 /// Requests whose longest allowed pause is at most this are kept apart from long prompts: each prefill chunk of a
--- a/crates/gateway/src/fleet/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -5,11 +5,12 @@
 use teaselcroft_parts::Millis;
 
 use super::Load;
+use super::allowance::Allowance;
 use super::limit_statement::LimitStatement;
 use super::placement::seeded_hash;
 use super::pressure::Pressure;
-use crate::RunnerRecord;
 use crate::store::Revision;
+use crate::{RequestRate, RunnerRecord};
 
 /// Makes the division into interactive and other runners independent of where prompt prefixes are placed.
 const POOL_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
@@ -33,6 +34,8 @@
     pub pressure: Pressure,
     /// What it stated last about the rate of requests that it takes; `None` if it never had a limit.
     pub limit: Option<LimitStatement>,
+    /// What may be sent to it within its limit, as the placement leader counts.
+    pub allowance: Allowance,
     /// Consecutive refused or broken connections.
     pub failures: u32,
     /// The end of its current avoidance, zero if it answered since.
@@ -50,11 +53,39 @@
             peer_load: Load::default(),
             pressure: Pressure::default(),
             limit: None,
+            allowance: Allowance::default(),
             failures: 0,
             avoided_until: Millis(0),
         }
     }
 
+    /// The rate limit that it has now.
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        self.limit.and_then(|statement| statement.rate)
+    }
+
+    /// Whether its rate limit leaves room for a request; `uses_limited` says whether runners with a limit may be used at all.
+    pub fn is_within_limit(&self, uses_limited: bool, now: Millis) -> bool {
+        self.rate_limit().is_none_or(|limit| uses_limited && self.allowance.is_available(limit, now))
+    }
+
+    /// Replaces the limit statement; returns whether the limit changed. A new limit begins without an allowance.
+    pub fn set_limit(&mut self, statement: LimitStatement, now: Millis) -> bool {
+        let known = self.rate_limit();
+        if known.is_none() {
+            self.allowance = Allowance::new(now);
+        }
+        self.limit = Some(statement);
+        known != statement.rate
+    }
+
+    /// Counts a request that the placement leader sends there.
+    pub fn take_allowance(&mut self, now: Millis) {
+        if let Some(limit) = self.rate_limit() {
+            self.allowance.take(limit, now);
+        }
+    }
+
     pub fn load(&self) -> Load {
         self.own_load + self.peer_load
     }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -18,6 +18,7 @@
     BodyError, BodyLength, BodyReader, Connection, PathTimeout, ResponseHead, is_hop_by_hop, response_body,
 };
 use crate::http_client::connect;
+use crate::peers::log_limit;
 use crate::{Event, RouteKind, log_event};
 
 /// How long connecting to a runner may take.
@@ -164,8 +165,8 @@
     fn note_limit(&self, placement: &Placement, reply: &RunnerReply, sent_at: Millis) {
         let is_changed = self.gateway.fleet().note_limit(placement.key, reply.rate_limit, sent_at, self.gateway.now());
         if is_changed {
-            let limit = reply.rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
-            log_event!(Event::RunnerLimited, runner = placement.record.name, limit = limit, source = "runner");
+            log_limit(&placement.record.name, reply.rate_limit, "runner");
+            self.gateway.request_heartbeats();
         }
     }
 
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -70,6 +70,20 @@
     pub avoided_ms: u32,
 }
 
+/// The rate limit that a runner stated last, as one daemon received it.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct RunnerLimit {
+    /// A hash of the runner's name and start.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// The requests per second that it takes from all daemons together; absent if it no longer has a limit.
+    #[prost(double, optional, tag = "2")]
+    pub per_second: Option<f64>,
+    /// How long ago it stated that, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
 /// A prompt prefix that a daemon sent to a runner.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct CacheNews {
@@ -155,6 +169,9 @@
     /// A hash of all crashes and clearances that it knows, 0 if there are none.
     #[prost(fixed64, tag = "11")]
     pub crash_digest: u64,
+    /// Rate limits that runners stated to it.
+    #[prost(message, repeated, tag = "12")]
+    pub limits: Vec<RunnerLimit>,
     /// Runners that are leaving or gone by recent changes in the store.
     #[prost(message, repeated, tag = "8")]
     pub gone: Vec<RunnerLeft>,
@@ -205,6 +222,9 @@
     /// The runners that earlier attempts were sent to.
     #[prost(string, repeated, tag = "10")]
     pub tried: Vec<String>,
+    /// Whether the request has no prompt; it asks only for a runner with a rate limit.
+    #[prost(bool, tag = "13")]
+    pub is_plain: bool,
 }
 
 /// The placement leader's reply to a query.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -48,6 +48,7 @@
             priority: self.priority(),
             target: self.route.target,
             tried: &self.tried,
+            uses_limited: false,
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use prost::Message;
-use teaselcroft_parts::Millis;
+use teaselcroft_parts::{Millis, RunnerName};
 
 use crate::dialect::Dialect;
 use crate::gateway::Gateway;
@@ -16,7 +16,7 @@
 use crate::placer::answer_query;
 use crate::roster::{FAR_ROUNDS, peer_address};
 use crate::runner_news::RunnerNews;
-use crate::{ConfigVersion, Event, log_event};
+use crate::{ConfigVersion, Event, RequestRate, log_event};
 
 /// The delay after a failed receive before the next one.
 const RECEIVE_RETRY_DELAY: Millis = Millis(100);
@@ -168,9 +168,14 @@
         (roster.me.clone(), roster.gossip(now).cloned().collect())
     };
     // One lock at a time: a guard inside the struct expression below would be held until its end.
-    let (loads, caches, gone) = {
+    let (loads, caches, gone, limits) = {
         let mut fleet = gateway.fleet();
-        (fleet.own_loads(now), fleet.recent_cache_news(now), fleet.recent_departures(period, now))
+        (
+            fleet.own_loads(now),
+            fleet.recent_cache_news(now),
+            fleet.recent_departures(period, now),
+            fleet.own_limits(now),
+        )
     };
     let (crashes, cleared, crash_digest) = {
         let mut tracker = gateway.crashes();
@@ -184,6 +189,7 @@
         crashes,
         cleared,
         crash_digest,
+        limits,
         gone,
         caches,
         members: Vec::new(),
@@ -257,6 +263,9 @@
         for runner in heartbeat.gone.iter().filter_map(|news| fleet.apply_departure(*news)) {
             log_event!(Event::RunnerLeft, runner = runner, source = name);
         }
+        for (runner, rate) in fleet.apply_peer_limits(&heartbeat.limits, now) {
+            log_limit(&runner, rate, &name);
+        }
     }
     for clearance in heartbeat.cleared {
         gateway.crashes().note_clearance(clearance, now);
@@ -276,6 +285,12 @@
     fetch_newer(gateway, source, heartbeat.version, delay, executor, fetching);
 }
 
+/// Logs that a runner's rate limit changed; `source` is the peer that said so, or the runner itself.
+pub fn log_limit(runner: &RunnerName, rate: Option<RequestRate>, source: &str) {
+    let limit = rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+    log_event!(Event::RunnerLimited, runner = runner, limit = limit, source = source);
+}
+
 /// Starts to fetch a configuration from a peer after `delay` if it is newer and not being fetched already.
 fn fetch_newer<D: Dialect>(
     gateway: &Arc<Gateway<D>>,
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -115,18 +115,39 @@
 }
 
 /// Chooses the runner for a request: through the placement leader, or here if this daemon is the leader, the leader
-/// does not reply, or the request has no prompt.
+/// does not reply, or the request has no prompt. Of runners with a rate limit only the leader knows what all daemons send
+/// there, so that a request without a prompt asks it too if no other runner is left.
 pub async fn place<D: Dialect>(gateway: &Gateway<D>, request: &PlacementRequest<'_>) -> Choice {
-    if let Some(prompt) = request.prompt
-        && let Some(target) = leader_address(gateway)
+    let leader = leader_address(gateway);
+    if let Some(target) = leader.filter(|_| request.prompt.is_some())
+        && let Some(choice) = ask_leader(gateway, request, target).await
     {
-        let granted = gateway.placer.query(target, build_query(gateway, request, prompt), gateway.now()).await;
-        if let Some(choice) = granted.and_then(|grant| granted_choice(gateway, request, &grant)) {
-            return choice;
-        }
+        return choice;
+    }
+    let choice = choose_here(gateway, &PlacementRequest { uses_limited: leader.is_none(), ..*request });
+    if let (Choice::Full, Some(target), None) = (&choice, leader, request.prompt) {
+        return ask_leader(gateway, request, target).await.unwrap_or(choice);
     }
+    choice
+}
+
+async fn ask_leader<D: Dialect>(
+    gateway: &Gateway<D>,
+    request: &PlacementRequest<'_>,
+    target: SocketAddr,
+) -> Option<Choice> {
+    let grant = gateway.placer.query(target, build_query(gateway, request), gateway.now()).await?;
+    granted_choice(gateway, request, &grant)
+}
+
+fn choose_here<D: Dialect>(gateway: &Gateway<D>, request: &PlacementRequest<'_>) -> Choice {
     let now = gateway.now();
-    gateway.fleet().choose(request, now)
+    let mut fleet = gateway.fleet();
+    let choice = fleet.choose(request, now);
+    if let Choice::Placed(placement) = &choice {
+        fleet.take_allowance(placement.key, now);
+    }
+    choice
 }
 
 /// The address of the placement leader, or `None` if this daemon is the leader.
@@ -140,17 +161,19 @@
     Some(SocketAddr::new(member.ip.parse().ok()?, gateway.settings.heartbeat_port))
 }
 
-fn build_query<D: Dialect>(gateway: &Gateway<D>, request: &PlacementRequest<'_>, prompt: &Prompt) -> PlaceQuery {
-    let parts = prompt.parts.iter().take(MAX_QUERY_PARTS);
+fn build_query<D: Dialect>(gateway: &Gateway<D>, request: &PlacementRequest<'_>) -> PlaceQuery {
+    let prompt = request.prompt;
+    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts).iter().take(MAX_QUERY_PARTS);
     PlaceQuery {
         daemon: gateway.settings.daemon.to_string(),
         number: 0,
         service: request.service.to_string(),
-        model: prompt.model.clone(),
+        model: prompt.map_or_else(String::new, |prompt| prompt.model.clone()),
         parts: parts.clone().map(|part| part.id).collect(),
         tokens: parts.map(|part| part.tokens).collect(),
-        input_tokens: prompt.input_tokens,
-        output_tokens: prompt.output_tokens,
+        input_tokens: prompt.map_or(0, |prompt| prompt.input_tokens),
+        output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
+        is_plain: prompt.is_none(),
         pause_ms: request.longest_pause.map_or(0, |pause| pause.0),
         priority: request.priority.0.into(),
         target_ms: request.target.0,
@@ -208,8 +231,16 @@
     let longest_pause = (query.pause_ms > 0).then_some(Millis(query.pause_ms));
     let priority = Priority(u8::try_from(query.priority).unwrap_or(Priority::LEAST.0));
     let target = Millis(query.target_ms);
-    let request =
-        PlacementRequest { service: &service, prompt: Some(&prompt), longest_pause, priority, target, tried: &tried };
+    let prompt = (!query.is_plain).then_some(&prompt);
+    let request = PlacementRequest {
+        service: &service,
+        prompt,
+        longest_pause,
+        priority,
+        target,
+        tried: &tried,
+        uses_limited: true,
+    };
     let now = gateway.now();
     let mut fleet = gateway.fleet();
     let placement = match fleet.choose(&request, now) {
@@ -220,7 +251,9 @@
         Choice::NoRunner => return None,
     };
     fleet.granted(&query.daemon, query.number, placement.key, placement.prefill_tokens, now);
-    fleet.note_cached(placement.key, &prompt, now);
+    if let Some(prompt) = prompt {
+        fleet.note_cached(placement.key, prompt, now);
+    }
     Some(PlaceGrant {
         number: query.number,
         runner: placement.record.name.to_string(),
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -69,6 +69,7 @@
             priority,
             target,
             tried: &[],
+            uses_limited: false,
         },
         now,
     )
@@ -230,7 +231,15 @@
     });
     let service = service();
     let (priority, target) = (Priority(2), Millis(300));
-    let plain = PlacementRequest { service: &service, prompt: None, longest_pause: None, priority, target, tried: &[] };
+    let plain = PlacementRequest {
+        service: &service,
+        prompt: None,
+        longest_pause: None,
+        priority,
+        target,
+        tried: &[],
+        uses_limited: false,
+    };
     let choose_plain = |fleet: &Fleet| match fleet.choose(&plain, Millis(0)) {
         Choice::Placed(placement) => placement,
         other => panic!("{other:?}"),
--- /dev/null
+++ b/crates/gateway/tests/rate_limits.rs
@@ -0,0 +1,188 @@
+//! Rate limits that runners state hold for the sum of all daemons, on a virtual clock.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::SocketAddr;
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use teaselcroft_gateway::fleet::{Choice, Fleet, PlacementRequest, RunnerKey, runner_hash};
+use teaselcroft_gateway::heartbeat::RunnerLimit;
+use teaselcroft_gateway::store::Revision;
+use teaselcroft_gateway::{Priority, RequestRate, RunnerRecord};
+use teaselcroft_parts::{Millis, ModelName, RunnerName};
+
+const STEP: Millis = Millis(20);
+const DAY: Millis = Millis(40_000);
+
+/// The users' bound: from `CONTACT_TIME` after its first statement, a runner gets at most `BOUND_RATIO` of its limit and
+/// `BOUND_REQUESTS` more in each `WINDOW`.
+const CONTACT_TIME: Millis = Millis(3_000);
+const WINDOW: Millis = Millis(4_000);
+const BOUND_RATIO: f64 = 1.5;
+const BOUND_REQUESTS: f64 = 5.0;
+
+fn service() -> ModelName {
+    "engines".parse().unwrap()
+}
+
+fn name(number: usize) -> RunnerName {
+    format!("i-{number}").parse().unwrap()
+}
+
+fn fleet(runners: usize) -> Fleet {
+    let mut fleet = Fleet::new("fayon".parse().unwrap());
+    for number in 0..runners {
+        let record = RunnerRecord {
+            name: name(number),
+            started_at: 1,
+            service: service(),
+            address: SocketAddr::from(([10, 0, 0, 1], 8_000 + u16::try_from(number).unwrap())),
+            zone: "fayon".parse().unwrap(),
+            slots: 64,
+            is_ready: true,
+        };
+        assert!(fleet.upsert(record, Revision(1)));
+    }
+    fleet
+}
+
+fn rate(per_second: f64) -> Option<RequestRate> {
+    Some(per_second.try_into().unwrap())
+}
+
+fn choose(fleet: &Fleet, uses_limited: bool, now: Millis) -> Choice {
+    let service = service();
+    let request = PlacementRequest {
+        service: &service,
+        prompt: None,
+        longest_pause: None,
+        priority: Priority(1),
+        target: Millis(300),
+        tried: &[],
+        uses_limited,
+    };
+    fleet.choose(&request, now)
+}
+
+fn key(fleet: &Fleet, number: usize) -> RunnerKey {
+    fleet.find(&name(number)).unwrap().0
+}
+
+/// A fleet of daemons whose placement leader changes.
+#[derive(Debug, Clone)]
+struct Schedule {
+    daemons: usize,
+    runners: usize,
+    /// The limit of the first runner.
+    limit: f64,
+    /// Requests in each step.
+    demand: usize,
+    /// When the next daemon becomes the leader.
+    changes: Vec<u64>,
+    /// For how long both leaders place after a change.
+    overlap: u64,
+}
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Schedule {
+        Schedule {
+            daemons: 2 + usize::arbitrary(g) % 7,
+            runners: 1 + usize::arbitrary(g) % 4,
+            limit: f64::from(u32::arbitrary(g) % 80) / 10.0,
+            demand: 1 + usize::arbitrary(g) % 3,
+            changes: (0..u32::arbitrary(g) % 8).map(|_| u64::arbitrary(g) % DAY.0).collect(),
+            overlap: u64::arbitrary(g) % 1_200,
+        }
+    }
+}
+
+/// Plays a schedule; returns when requests were sent to the runner with the limit.
+fn play(schedule: &Schedule) -> Vec<Millis> {
+    let mut fleets: Vec<Fleet> = (0..schedule.daemons).map(|_| fleet(schedule.runners)).collect();
+    let mut sent = Vec::new();
+    for now in (0..DAY.0).step_by(STEP.0 as usize).map(Millis) {
+        let leader = |at: u64| schedule.changes.iter().filter(|change| **change <= at).count() % schedule.daemons;
+        let leaders = [leader(now.0), leader(now.0.saturating_sub(schedule.overlap))];
+        for request in 0..schedule.demand {
+            let leading = &mut fleets[leaders[request % 2]];
+            if let Choice::Placed(placement) = choose(leading, true, now) {
+                leading.take_allowance(placement.key, now);
+                if placement.record.name == name(0) {
+                    sent.push(now);
+                    let answered = &mut fleets[request % schedule.daemons];
+                    let first = key(answered, 0);
+                    answered.note_limit(first, rate(schedule.limit), now, now);
+                }
+            }
+        }
+        if now.0.is_multiple_of(120) {
+            let limits: Vec<Vec<RunnerLimit>> = fleets.iter().map(|fleet| fleet.own_limits(now)).collect();
+            for fleet in &mut fleets {
+                limits.iter().for_each(|limits| drop(fleet.apply_peer_limits(limits, now)));
+            }
+        }
+    }
+    sent
+}
+
+fn most_in_window(sent: &[Millis]) -> usize {
+    let settled: Vec<Millis> = sent.iter().copied().filter(|at| *at >= CONTACT_TIME).collect();
+    let in_window = |last: &Millis| settled.iter().filter(|at| **at <= *last && last.since(**at) < WINDOW).count();
+    settled.iter().map(in_window).max().unwrap_or(0)
+}
+
+quickcheck! {
+    fn a_limit_holds_for_all_daemons_together_while_leaders_change(schedule: Schedule) -> bool {
+        let allowed = schedule.limit * BOUND_RATIO * WINDOW.0 as f64 / 1_000.0 + BOUND_REQUESTS;
+        most_in_window(&play(&schedule)) as f64 <= allowed
+    }
+}
+
+#[test]
+fn a_limit_is_used_by_the_leader_and_what_exceeds_it_goes_elsewhere_or_is_refused() {
+    let schedule = Schedule { daemons: 8, runners: 1, limit: 10.0, demand: 2, changes: Vec::new(), overlap: 0 };
+    let mut alone = fleet(1);
+    let first = key(&alone, 0);
+    alone.note_limit(first, rate(2.0), Millis(0), Millis(0));
+
+    let sent = play(&schedule).into_iter().filter(|at| *at >= CONTACT_TIME).count();
+    let span = (DAY.0 - CONTACT_TIME.0) as f64 / 1_000.0;
+
+    assert!(sent as f64 >= 0.7 * 10.0 * span, "{sent} requests in {span} s");
+    assert!(matches!(choose(&alone, true, Millis(100)), Choice::Full), "no allowance yet");
+    assert!(matches!(choose(&alone, true, Millis(1_000)), Choice::Placed(_)));
+    assert!(matches!(choose(&alone, false, Millis(1_000)), Choice::Full), "only the leader uses it");
+}
+
+#[test]
+fn a_limit_ends_with_an_answer_without_one_that_was_asked_for_later() {
+    let mut fleets = [fleet(1), fleet(1)];
+    let first = key(&fleets[0], 0);
+
+    let is_new = fleets[0].note_limit(first, rate(2.0), Millis(0), Millis(500));
+    let by_overtaken = fleets[0].note_limit(first, None, Millis(400), Millis(600));
+    let limits = fleets[0].own_limits(Millis(700));
+    let told = fleets[1].apply_peer_limits(&limits, Millis(720));
+    let by_later = fleets[0].note_limit(first, None, Millis(800), Millis(900));
+    let ended = fleets[1].apply_peer_limits(&fleets[0].own_limits(Millis(1_000)), Millis(1_020));
+    let outdated = fleets[1].apply_peer_limits(
+        &limits.iter().map(|limit| RunnerLimit { age_ms: 600, ..*limit }).collect::<Vec<_>>(),
+        Millis(1_100),
+    );
+
+    assert_eq!((is_new, by_overtaken, by_later), (true, false, true));
+    assert_eq!((told, ended, outdated), (vec![(name(0), rate(2.0))], vec![(name(0), None)], Vec::new()));
+    assert!(matches!(choose(&fleets[1], false, Millis(1_100)), Choice::Placed(_)));
+}
+
+#[test]
+fn numbers_that_are_no_rates_are_no_limits() {
+    let limit = |per_second| RunnerLimit { runner: runner_hash(&name(0), 1), per_second: Some(per_second), age_ms: 0 };
+    let mut fleet = fleet(1);
+
+    let parsed = ["", "x", "-1", "nan", "inf", "1e999"].map(|text| text.parse::<RequestRate>().is_ok());
+    let told = fleet.apply_peer_limits(&[limit(f64::NAN), limit(-1.0), limit(f64::INFINITY)], Millis(0));
+
+    assert_eq!((parsed, told), ([false; 6], Vec::new()));
+    assert_eq!("1.1".parse::<RequestRate>().map(RequestRate::per_second), Ok(1.1));
+}
