Skip answers without a request id on kept connections

What callers saw: reported by other operators. 503 "not run" for a request that a runner was running, and a repeat by the caller ran it a second time.

Cause: an answer with the id of an earlier request is skipped, one without an id was taken for the answer to the current request. A faulty runner that writes an earlier refusal once more thus refuses the next request on the connection. The class: what does not contradict is taken for a match.

Evidence: a_refusal_without_an_id_on_a_kept_connection_is_not_taken_for_the_next_request failed before (503, and the request ran twice: a refused attempt is sent to one more runner). a_connection_on_which_a_request_was_refused_is_not_used_again passed before: a refusal with the same id cannot come from an earlier attempt, since such connections are closed.

Why this works: runners repeat the id in all answers. On a connection that has carried nothing before, an answer can only be to this request, with an id or not.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -95,7 +95,7 @@
 impl<D: Dialect> Forwarder<'_, D> {
     /// Sends the request to the placement's runner and relays the answer.
     pub(super) async fn attempt(&mut self, placement: &Placement) -> AttemptOutcome {
-        let Some(mut connection) = self.open_connection(placement).await else {
+        let Some((mut connection, is_kept)) = self.open_connection(placement).await else {
             return AttemptOutcome::Unreachable;
         };
         let mut in_flight = InFlight::begin(self.gateway, placement.key, placement.prefill_tokens);
@@ -118,7 +118,7 @@
             self.gateway.wait_for_block(&self.suspects).await;
             Err(HeadFailure::Blocked)
         };
-        let head = or(write, or(self.wait_for_head(&mut connection, placement.pressure), block)).await;
+        let head = or(write, or(self.wait_for_head(&mut connection, is_kept, placement.pressure), block)).await;
         let (head, reply) = match head {
             Ok(answer) => answer,
             Err(HeadFailure::Blocked) => return AttemptOutcome::Withdrawn,
@@ -224,16 +224,17 @@
         }
     }
 
-    async fn open_connection(&self, placement: &Placement) -> Option<Connection> {
+    /// A connection to the runner, and whether it has carried requests before.
+    async fn open_connection(&self, placement: &Placement) -> Option<(Connection, bool)> {
         let now = self.gateway.now();
         let max_idle = if self.job.route.is_repeatable() { MAX_IDLE_REPEATABLE } else { MAX_IDLE_UNSAFE };
         let pooled = self.gateway.pool().take(placement.key, max_idle, now);
-        if pooled.is_some() {
-            return pooled;
+        if let Some(connection) = pooled {
+            return Some((connection, true));
         }
         self.gateway.metrics.connects.inc();
         match connect(placement.record.address, CONNECT_TIMEOUT, PathTimeout::default()).await {
-            Ok(connection) => Some(connection),
+            Ok(connection) => Some((connection, false)),
             Err(error) => {
                 let span = self.gateway.fleet().avoid(placement.key, self.gateway.now());
                 log_event!(Event::RunnerAvoided, runner = placement.record.name, reason = error, span = span);
@@ -253,9 +254,10 @@
     async fn wait_for_head(
         &self,
         connection: &mut Connection,
+        is_kept: bool,
         pressure: Millis,
     ) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
-        let read = self.read_matching_head(connection);
+        let read = self.read_matching_head(connection, is_kept);
         let Some(timeout) = self.head_timeout(pressure) else {
             return read.await;
         };
@@ -266,10 +268,12 @@
         .await
     }
 
-    /// Reads the head of this request's answer; skips interim responses and late answers to earlier requests.
+    /// Reads the head of this request's answer; skips interim responses and late answers to earlier requests. Runners
+    /// repeat the request's id, so that on a connection which is kept an answer without an id may be to an earlier one.
     async fn read_matching_head(
         &self,
         connection: &mut Connection,
+        is_kept: bool,
     ) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
         let (mut skipped, mut interim, mut skipped_bytes) = (0, 0, 0);
         loop {
@@ -282,7 +286,10 @@
                 continue;
             }
             let reply = self.gateway.dialect.reply(&head.fields);
-            let is_for_other = reply.request_id.as_deref().is_some_and(|id| id != self.job.caller_fields.request_id);
+            let is_for_other = match reply.request_id.as_deref() {
+                Some(id) => id != self.job.caller_fields.request_id,
+                None => is_kept,
+            };
             if !is_for_other {
                 return Ok((head, reply));
             }
