--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -107,6 +107,9 @@
     for change in changes {
         let name = change.key.strip_prefix(MEMBER_PREFIX).unwrap_or(&change.key).to_owned();
         match change.value.as_deref().map(MemberRecord::decode) {
+            Some(Ok(member)) if member.name != name => {
+                log_event!(Event::EntryIgnored, key = name, reason = "it names another daemon", source = "store");
+            }
             Some(Ok(member)) => {
                 let is_new = gateway.roster().learn(member, true, gateway.now());
                 if is_new {
