Stop sending to runners that say in an answer that they leave

A runner that leaves says so in all its answers; requests that reach it later than two seconds after that are lost when it ends.

Cause: only the store's entries and peers said that a runner leaves.

Why this works: the answer that says so ends the placement there at once, before it is relayed, and the next heartbeats, which go out at once, tell the peers. What a runner says of itself holds for this start of it, whatever its entry says later: it may lapse while the store is away and come back. It is remembered for ten minutes without an entry.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -55,6 +55,9 @@
 /// The shortest time for which heartbeats repeat that a runner left; several heartbeats, since datagrams get lost.
 const MIN_DEPARTURE_TTL: Millis = Millis(2_000);
 
+/// How long it is remembered that a runner said that it leaves, also without its entry: longer than any takes to leave.
+const LEAVING_TTL: Millis = Millis(600_000);
+
 /// The most prompt prefixes reported in one heartbeat.
 const MAX_CACHE_NEWS: usize = 128;
 
@@ -72,6 +75,8 @@
     caches: CacheMap,
     cache_news: Vec<(Millis, CacheNews)>,
     departures: Vec<(Millis, RunnerLeft)>,
+    /// The hashes of runner starts that said in an answer that they leave, and when that was heard last.
+    leaving: HashMap<u64, Millis>,
 }
 
 /// The hash that identifies one start of a runner in messages between daemons.
@@ -93,12 +98,15 @@
             caches: CacheMap::default(),
             cache_news: Vec::new(),
             departures: Vec::new(),
+            leaving: HashMap::new(),
         }
     }
 
     /// Adds or updates a runner from its store entry as of `revision`. Returns true if the runner is new or
     /// changed. One that restarted or has another address counts as a new runner, without load or cache.
-    pub fn upsert(&mut self, record: RunnerRecord, revision: Revision) -> bool {
+    pub fn upsert(&mut self, mut record: RunnerRecord, revision: Revision) -> bool {
+        let hash = runner_hash(&record.name, record.started_at);
+        record.is_ready &= !self.leaving.contains_key(&hash);
         if let Some(key) = self.names.get(&record.name).copied() {
             let state = &mut self.runners[key];
             state.revision = state.revision.max(revision);
@@ -112,7 +120,6 @@
             }
             self.remove_runner(&record.name);
         }
-        let hash = runner_hash(&record.name, record.started_at);
         let (name, service) = (record.name.clone(), record.service.clone());
         let key = self.runners.insert(RunnerState::new(record, hash, revision));
         self.names.insert(name, key);
@@ -136,8 +143,22 @@
     /// Queues a report to peers that a runner is leaving or gone as of the store's `revision`.
     pub fn note_departure(&mut self, name: &RunnerName, revision: Revision, now: Millis) {
         if let Some(state) = self.names.get(name).and_then(|key| self.runners.get(*key)) {
-            self.departures.push((now, RunnerLeft { runner: state.hash, revision: revision.0 }));
+            let departure = RunnerLeft { runner: state.hash, revision: revision.0, is_stated: false };
+            self.departures.push((now, departure));
+        }
+    }
+
+    /// Stops sending new requests to a runner that says in an answer that it leaves, and queues a report to peers. Returns
+    /// true if the runner took requests until now.
+    pub fn note_leaving(&mut self, key: RunnerKey, now: Millis) -> bool {
+        let Some(state) = self.runners.get(key) else {
+            return false;
+        };
+        let departure = RunnerLeft { runner: state.hash, revision: state.revision.0, is_stated: true };
+        if self.leaving.insert(state.hash, now).is_none() {
+            self.departures.push((now, departure));
         }
+        self.apply_departure(departure, now).is_some()
     }
 
     /// The runners that left recently, for peers that get a heartbeat every `period`.
@@ -148,10 +169,14 @@
     }
 
     /// Stops sending new requests to a runner that a peer reports as leaving, unless a newer store entry of the
-    /// runner is known. Returns its name if it took requests until now.
-    pub fn apply_departure(&mut self, departure: RunnerLeft) -> Option<RunnerName> {
+    /// runner is known and the runner did not say so itself. Returns its name if it took requests until now.
+    pub fn apply_departure(&mut self, departure: RunnerLeft, now: Millis) -> Option<RunnerName> {
+        if departure.is_stated {
+            self.leaving.insert(departure.runner, now);
+        }
         let state = self.runners.get_mut(*self.hashes.get(&departure.runner)?)?;
-        if !state.record.is_ready || Revision(departure.revision) < state.revision {
+        let is_outdated = !departure.is_stated && Revision(departure.revision) < state.revision;
+        if !state.record.is_ready || is_outdated {
             return None;
         }
         let record = RunnerRecord { is_ready: false, ..(*state.record).clone() };
@@ -321,12 +346,13 @@
         self.peers.entry(peer.to_owned()).or_default().grant(number, hash, load, now);
     }
 
-    /// Drops the load counts of peers that have not reported for too long.
+    /// Drops the load counts of peers that have not reported for too long, and forgets runners that left long ago.
     pub fn sweep(&mut self, now: Millis) {
         let is_expired = |loads: &PeerLoads| now.since(loads.heard()) > PEER_LOADS_TTL;
         let expired: Vec<String> =
             self.peers.iter().filter(|(_, loads)| is_expired(loads)).map(|(peer, _)| peer.clone()).collect();
         expired.iter().for_each(|peer| self.drop_peer_loads(peer));
+        self.leaving.retain(|_, heard| now.since(*heard) < LEAVING_TTL);
     }
 
     /// Drops the load counts of one peer.
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -136,6 +136,9 @@
         let is_reusable = written.load(Ordering::Relaxed);
         if !self.gateway.dialect.is_misdirected(head.status) {
             self.note_limit(placement, &reply, sent_at);
+            if reply.is_leaving {
+                self.note_leaving(placement);
+            }
         }
         if reply.not_run || self.gateway.dialect.is_misdirected(head.status) {
             self.executions -= 1;
@@ -162,6 +165,14 @@
         self.relay_buffered(placement, connection, head, reply, length, is_reusable).await
     }
 
+    fn note_leaving(&self, placement: &Placement) {
+        let is_news = self.gateway.fleet().note_leaving(placement.key, self.gateway.now());
+        if is_news {
+            log_event!(Event::RunnerLeft, runner = placement.record.name, source = "runner");
+            self.gateway.request_heartbeats();
+        }
+    }
+
     fn note_limit(&self, placement: &Placement, reply: &RunnerReply, sent_at: Millis) {
         let is_changed = self.gateway.fleet().note_limit(placement.key, reply.rate_limit, sent_at, self.gateway.now());
         if is_changed {
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -146,6 +146,9 @@
     /// The store's revision that says so.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// Whether the runner itself said so, which no later entry of this start takes back.
+    #[prost(bool, tag = "3")]
+    pub is_stated: bool,
 }
 
 /// What a daemon sends to each other daemon several times a second.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -260,7 +260,7 @@
         let mut fleet = gateway.fleet();
         fleet.set_peer_loads(&name, None, heartbeat.loads, now);
         fleet.apply_peer_caches(&heartbeat.caches, now);
-        for runner in heartbeat.gone.iter().filter_map(|news| fleet.apply_departure(*news)) {
+        for runner in heartbeat.gone.iter().filter_map(|news| fleet.apply_departure(*news, now)) {
             log_event!(Event::RunnerLeft, runner = runner, source = name);
         }
         for (runner, rate) in fleet.apply_peer_limits(&heartbeat.limits, now) {
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -189,15 +189,39 @@
 
     one.note_departure(&name, Revision(2), Millis(0));
     let news = one.recent_departures(Millis(120), Millis(100));
-    news.iter().for_each(|left| assert!(two.apply_departure(*left).is_some()));
+    news.iter().for_each(|left| assert!(two.apply_departure(*left, Millis(100)).is_some()));
 
     assert!(choose(&two, &prompt(7, 100, 100), PATIENT_PAUSE, Millis(100)).is_none());
     assert!(two.upsert(RunnerRecord { started_at: 2, ..runner(0, "fayon", 64) }, Revision(3)));
-    news.iter().for_each(|left| assert!(two.apply_departure(*left).is_none()));
+    news.iter().for_each(|left| assert!(two.apply_departure(*left, Millis(100)).is_none()));
     assert!(choose(&two, &prompt(7, 100, 100), PATIENT_PAUSE, Millis(100)).is_some());
     assert!(one.recent_departures(Millis(120), Millis(9_000)).is_empty());
 }
 
+#[test]
+fn a_runner_that_says_that_it_leaves_is_used_again_only_after_a_restart() {
+    let (mut one, mut two) = (fleet(1), fleet(1));
+    let name: RunnerName = "i-0".parse().unwrap();
+    let key = one.find(&name).unwrap().0;
+    let takes = |fleet: &Fleet| fleet.find(&name).is_some_and(|(_, record, _)| record.is_ready);
+
+    let (is_news, is_repeated) = (one.note_leaving(key, Millis(0)), one.note_leaving(key, Millis(10)));
+    let news = one.recent_departures(Millis(120), Millis(100));
+    two.upsert(RunnerRecord { slots: 7, ..runner(0, "fayon", 64) }, Revision(9));
+    news.iter().for_each(|left| assert!(two.apply_departure(*left, Millis(100)).is_some()));
+    for fleet in [&mut one, &mut two] {
+        fleet.upsert(RunnerRecord { slots: 8, ..runner(0, "fayon", 64) }, Revision(10));
+        fleet.remove_runner(&name);
+        fleet.upsert(runner(0, "fayon", 64), Revision(11));
+    }
+    let after_return = [takes(&one), takes(&two)];
+    one.upsert(RunnerRecord { started_at: 2, ..runner(0, "fayon", 64) }, Revision(12));
+
+    assert_eq!((is_news, is_repeated, news.len()), (true, false, 1));
+    assert_eq!(after_return, [false; 2]);
+    assert!(takes(&one), "another start under the same name");
+}
+
 #[test]
 fn a_departure_older_than_the_runners_latest_entry_is_ignored() {
     let (mut one, mut two) = (fleet(1), fleet(1));
@@ -206,7 +230,7 @@
     let news = one.recent_departures(Millis(120), Millis(100));
 
     assert!(!two.upsert(runner(0, "fayon", 64), Revision(6)), "nothing but the entry's revision is new");
-    news.iter().for_each(|left| assert!(two.apply_departure(*left).is_none()));
+    news.iter().for_each(|left| assert!(two.apply_departure(*left, Millis(100)).is_none()));
 
     assert!(choose(&two, &prompt(7, 100, 100), PATIENT_PAUSE, Millis(100)).is_some());
 }
