Keep the pause that a runner asks for when it refuses a request

A runner that turns a request away with 503 may say how long it wants nothing from this daemon; we went on at once, and each such request costs a second send.

Cause: the header was not read.

Why this works: the runner is left out of every choice here until the pause ends, also where no other is left; the request is then refused as not run. The pause is for this daemon alone, so that peers are not told. The placement leader does not know of it: the query names such runners beside those already tried, and a grant for one is not used.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -50,6 +50,8 @@
     pub is_signed: bool,
     /// Whether the runner states that it did not execute the request.
     pub not_run: bool,
+    /// How long the runner wants no request from this daemon.
+    pub retry_after: Option<Millis>,
     /// Whether the runner states that it is about to leave.
     pub is_leaving: bool,
     /// The requests that the runner takes from all daemons together, if it states a limit.
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -57,6 +57,8 @@
     AnswerCutOff = 645;
     /// A runner states another limit on requests per second from all daemons together, or none any more.
     RunnerLimited = 646;
+    /// A runner asked this daemon for a pause; no request goes there until it ends.
+    RunnerHeld = 647;
     /// A request was sent to a runner.
     Placed = 650;
     /// An attempt failed: the runner was unreachable, declined, or gave no complete usable answer.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -58,6 +58,9 @@
 /// How long it is remembered that a runner said that it leaves, also without its entry: longer than any takes to leave.
 const LEAVING_TTL: Millis = Millis(600_000);
 
+/// The longest time for which a runner that asks for it gets no requests.
+const MAX_HOLD: Millis = Millis(3_600_000);
+
 /// The most prompt prefixes reported in one heartbeat.
 const MAX_CACHE_NEWS: usize = 128;
 
@@ -305,6 +308,25 @@
         }
     }
 
+    /// Sends nothing to a runner for `span`, since it asked this daemon for that.
+    pub fn hold(&mut self, key: RunnerKey, span: Millis, now: Millis) {
+        if let Some(state) = self.runners.get_mut(key) {
+            state.held_until = state.held_until.max(now + span.min(MAX_HOLD));
+        }
+    }
+
+    /// Whether a runner wants no request from this daemon now.
+    pub fn is_held(&self, key: RunnerKey, now: Millis) -> bool {
+        self.runners.get(key).is_some_and(|state| state.held_until > now)
+    }
+
+    /// The runners of a service that want no request from this daemon now.
+    pub fn held(&self, service: &ModelName, now: Millis) -> Vec<RunnerName> {
+        let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        let held = keys.iter().map(|key| &self.runners[*key]).filter(|state| state.held_until > now);
+        held.map(|state| state.record.name.clone()).collect()
+    }
+
     /// Avoids a runner that refused or broke a connection, with exponential backoff; returns for how long.
     pub fn avoid(&mut self, key: RunnerKey, now: Millis) -> Millis {
         let Some(state) = self.runners.get_mut(key) else {
--- a/crates/gateway/src/fleet/placement.rs
+++ b/crates/gateway/src/fleet/placement.rs
@@ -74,7 +74,7 @@
 
 impl Fleet {
     /// Chooses the runner for a request. Avoided runners are used only if no other runner is left, those whose rate limit
-    /// is used up not at all.
+    /// is used up, or that asked this daemon for a pause, not at all.
     pub fn choose(&self, request: &PlacementRequest<'_>, now: Millis) -> Choice {
         let keys = self.services.get(request.service).map_or(&[][..], Vec::as_slice);
         let ready: Vec<(RunnerKey, &RunnerState)> = keys
@@ -85,8 +85,10 @@
         if ready.is_empty() {
             return Choice::NoRunner;
         }
-        let within_limit = ready.into_iter().filter(|(_, state)| state.is_within_limit(request.uses_limited, now));
-        let (avoided, healthy): (Vec<_>, Vec<_>) = within_limit.partition(|(_, state)| state.avoided_until > now);
+        let open = ready
+            .into_iter()
+            .filter(|(_, state)| state.held_until <= now && state.is_within_limit(request.uses_limited, now));
+        let (avoided, healthy): (Vec<_>, Vec<_>) = open.partition(|(_, state)| state.avoided_until > now);
         let candidates = if healthy.is_empty() { avoided } else { healthy };
         if candidates.is_empty() {
             return Choice::Full;
--- a/crates/gateway/src/fleet/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -36,6 +36,8 @@
     pub limit: Option<LimitStatement>,
     /// What may be sent to it within its limit, as the placement leader counts.
     pub allowance: Allowance,
+    /// Until when it wants no request from this daemon.
+    pub held_until: Millis,
     /// Consecutive refused or broken connections.
     pub failures: u32,
     /// The end of its current avoidance, zero if it answered since.
@@ -54,6 +56,7 @@
             pressure: Pressure::default(),
             limit: None,
             allowance: Allowance::default(),
+            held_until: Millis(0),
             failures: 0,
             avoided_until: Millis(0),
         }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -139,6 +139,10 @@
             if reply.is_leaving {
                 self.note_leaving(placement);
             }
+            if let Some(span) = reply.retry_after.filter(|_| head.status == 503) {
+                self.gateway.fleet().hold(placement.key, span, self.gateway.now());
+                log_event!(Event::RunnerHeld, runner = placement.record.name, span = span);
+            }
         }
         if reply.not_run || self.gateway.dialect.is_misdirected(head.status) {
             self.executions -= 1;
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -163,6 +163,8 @@
 
 fn build_query<D: Dialect>(gateway: &Gateway<D>, request: &PlacementRequest<'_>) -> PlaceQuery {
     let prompt = request.prompt;
+    let now = gateway.now();
+    let held = gateway.fleet().held(request.service, now);
     let parts = prompt.map_or(&[][..], |prompt| &prompt.parts).iter().take(MAX_QUERY_PARTS);
     PlaceQuery {
         daemon: gateway.settings.daemon.to_string(),
@@ -177,7 +179,7 @@
         pause_ms: request.longest_pause.map_or(0, |pause| pause.0),
         priority: request.priority.0.into(),
         target_ms: request.target.0,
-        tried: request.tried.iter().map(RunnerName::to_string).collect(),
+        tried: request.tried.iter().chain(&held).map(RunnerName::to_string).collect(),
     }
 }
 
@@ -192,7 +194,9 @@
     }
     let name: RunnerName = grant.runner.parse().ok()?;
     let (key, record, load) = gateway.fleet().find(&name)?;
-    let fits = record.is_ready && record.service == *request.service && !request.tried.contains(&name);
+    let now = gateway.now();
+    let is_open = record.is_ready && !gateway.fleet().is_held(key, now);
+    let fits = is_open && record.service == *request.service && !request.tried.contains(&name);
     let fetch_from = grant.source.parse().ok();
     fits.then_some(Choice::Placed(Placement {
         key,
