Count what other placement leaders let pass against a rate limit

A runner got more than its limit allows while the placement leader changed several times in a few seconds: 33 requests in 4 s with a limit of 4.3, allowed are 30.

Cause: each daemon's token bucket filled while others placed, so that every new leader began with a burst.

A daemon's sends do not count for three seconds after its restart: the users' rule excuses it.

Why this works: heartbeats carry how many requests the sender let pass to each limited runner since it started, and receivers take what is new from their own buckets. A daemon that becomes the leader goes on where the last one was; what two leaders took at once is made up for.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -17,7 +17,7 @@
 use slotmap::{SlotMap, new_key_type};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
 
-use crate::heartbeat::{CacheNews, RunnerLeft, RunnerLimit, RunnerLoad};
+use crate::heartbeat::{CacheNews, RunnerLeft, RunnerLimit, RunnerLoad, RunnerPermits};
 use crate::store::Revision;
 use crate::{Prompt, RequestRate, RunnerRecord};
 
@@ -301,6 +301,21 @@
         self.runners.values().filter_map(|state| state.limit?.report(state.hash, now)).collect()
     }
 
+    /// Counts the requests that a peer let pass to runners with a rate limit.
+    pub fn apply_peer_permits(&mut self, peer: &str, permits: &[RunnerPermits], now: Millis) {
+        for report in permits {
+            if let Some(state) = self.hashes.get(&report.runner).and_then(|key| self.runners.get_mut(*key)) {
+                state.note_peer_permits(peer, report.count, now);
+            }
+        }
+    }
+
+    /// The requests that this daemon let pass to runners that have a rate limit, for its heartbeats.
+    pub fn own_permits(&self) -> Vec<RunnerPermits> {
+        let limited = self.runners.values().filter(|state| state.rate_limit().is_some());
+        limited.map(|state| RunnerPermits { runner: state.hash, count: state.permits }).collect()
+    }
+
     /// Counts a request that this daemon, as the placement leader, sends to a runner that it chose for itself.
     pub fn take_allowance(&mut self, key: RunnerKey, now: Millis) {
         if let Some(state) = self.runners.get_mut(key) {
--- a/crates/gateway/src/fleet/allowance.rs
+++ b/crates/gateway/src/fleet/allowance.rs
@@ -13,7 +13,11 @@
 /// Unused allowance is kept for this long, beside one whole request, in seconds.
 const BURST_SECONDS: f64 = 0.5;
 
-/// A token bucket that fills with the runner's rate limit; each request takes one token.
+/// The deepest debt, as seconds of the rate; two leaders at once may take more than there is.
+const MAX_DEBT_SECONDS: f64 = 4.0;
+
+/// A token bucket that fills with the runner's rate limit; each request takes one token, also those that other daemons let
+/// pass, so that a daemon which becomes the placement leader goes on where the last one was.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) struct Allowance {
     tokens: f64,
@@ -31,15 +35,21 @@
         self.tokens_at(limit, now) >= 1.0
     }
 
-    /// Takes the token of a request that is sent.
-    pub fn take(&mut self, limit: RequestRate, now: Millis) {
-        self.tokens = self.tokens_at(limit, now) - 1.0;
+    /// Takes the tokens of `count` requests.
+    pub fn take(&mut self, count: u32, limit: RequestRate, now: Millis) {
+        let lowest = -1.0 - fill_rate(limit) * MAX_DEBT_SECONDS;
+        self.tokens = (self.tokens_at(limit, now) - f64::from(count)).max(lowest);
         self.updated = now;
     }
 
     fn tokens_at(&self, limit: RequestRate, now: Millis) -> f64 {
-        let rate = (limit.per_second() * LIMIT_SHARE).max(MIN_RATE);
+        let rate = fill_rate(limit);
         let filled = self.tokens + now.since(self.updated).0 as f64 / 1_000.0 * rate;
         filled.min(1.0 + rate * BURST_SECONDS)
     }
 }
+
+/// The tokens per second.
+fn fill_rate(limit: RequestRate) -> f64 {
+    (limit.per_second() * LIMIT_SHARE).max(MIN_RATE)
+}
--- a/crates/gateway/src/fleet/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_state.rs
@@ -1,5 +1,6 @@
 //! What one daemon knows of one runner.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use teaselcroft_parts::Millis;
@@ -36,6 +37,10 @@
     pub limit: Option<LimitStatement>,
     /// What may be sent to it within its limit, as the placement leader counts.
     pub allowance: Allowance,
+    /// The requests that this daemon let pass within the limit, as the placement leader.
+    pub permits: u32,
+    /// The same for other daemons, as they reported last.
+    pub peer_permits: HashMap<String, u32>,
     /// Until when it wants no request from this daemon.
     pub held_until: Millis,
     /// Consecutive refused or broken connections.
@@ -56,6 +61,8 @@
             pressure: Pressure::default(),
             limit: None,
             allowance: Allowance::default(),
+            permits: 0,
+            peer_permits: HashMap::new(),
             held_until: Millis(0),
             failures: 0,
             avoided_until: Millis(0),
@@ -85,7 +92,17 @@
     /// Counts a request that the placement leader sends there.
     pub fn take_allowance(&mut self, now: Millis) {
         if let Some(limit) = self.rate_limit() {
-            self.allowance.take(limit, now);
+            self.allowance.take(1, limit, now);
+            self.permits = self.permits.wrapping_add(1);
+        }
+    }
+
+    /// Counts the requests that a peer let pass since its last report; its first report is where counting begins.
+    pub fn note_peer_permits(&mut self, peer: &str, count: u32, now: Millis) {
+        let known = self.peer_permits.insert(peer.to_owned(), count);
+        let new = known.map_or(0, |known| count.checked_sub(known).unwrap_or(count));
+        if let Some(limit) = self.rate_limit().filter(|_| new > 0) {
+            self.allowance.take(new, limit, now);
         }
     }
 
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -84,6 +84,17 @@
     pub age_ms: u32,
 }
 
+/// How many requests a daemon let pass to a runner with a rate limit, as the placement leader.
+#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+pub struct RunnerPermits {
+    /// A hash of the runner's name and start.
+    #[prost(fixed64, tag = "1")]
+    pub runner: u64,
+    /// The requests since the daemon started.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
+}
+
 /// A prompt prefix that a daemon sent to a runner.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct CacheNews {
@@ -175,6 +186,9 @@
     /// Rate limits that runners stated to it.
     #[prost(message, repeated, tag = "12")]
     pub limits: Vec<RunnerLimit>,
+    /// How many requests it let pass to runners with a rate limit.
+    #[prost(message, repeated, tag = "13")]
+    pub permits: Vec<RunnerPermits>,
     /// Runners that are leaving or gone by recent changes in the store.
     #[prost(message, repeated, tag = "8")]
     pub gone: Vec<RunnerLeft>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -168,14 +168,13 @@
         (roster.me.clone(), roster.gossip(now).cloned().collect())
     };
     // One lock at a time: a guard inside the struct expression below would be held until its end.
-    let (loads, caches, gone, limits) = {
+    let (loads, caches, gone) = {
         let mut fleet = gateway.fleet();
-        (
-            fleet.own_loads(now),
-            fleet.recent_cache_news(now),
-            fleet.recent_departures(period, now),
-            fleet.own_limits(now),
-        )
+        (fleet.own_loads(now), fleet.recent_cache_news(now), fleet.recent_departures(period, now))
+    };
+    let (limits, permits) = {
+        let fleet = gateway.fleet();
+        (fleet.own_limits(now), fleet.own_permits())
     };
     let (crashes, cleared, crash_digest) = {
         let mut tracker = gateway.crashes();
@@ -190,6 +189,7 @@
         cleared,
         crash_digest,
         limits,
+        permits,
         gone,
         caches,
         members: Vec::new(),
@@ -266,6 +266,7 @@
         for (runner, rate) in fleet.apply_peer_limits(&heartbeat.limits, now) {
             log_limit(&runner, rate, &name);
         }
+        fleet.apply_peer_permits(&name, &heartbeat.permits, now);
     }
     for clearance in heartbeat.cleared {
         gateway.crashes().note_clearance(clearance, now);
--- a/crates/gateway/tests/rate_limits.rs
+++ b/crates/gateway/tests/rate_limits.rs
@@ -4,7 +4,6 @@
 
 use std::net::SocketAddr;
 
-use quickcheck::{Arbitrary, Gen, quickcheck};
 use teaselcroft_gateway::fleet::{Choice, Fleet, PlacementRequest, RunnerKey, runner_hash};
 use teaselcroft_gateway::heartbeat::RunnerLimit;
 use teaselcroft_gateway::store::Revision;
@@ -13,6 +12,7 @@
 
 const STEP: Millis = Millis(20);
 const DAY: Millis = Millis(40_000);
+const SCHEDULES: u64 = 300;
 
 /// The users' bound: from `CONTACT_TIME` after its first statement, a runner gets at most `BOUND_RATIO` of its limit and
 /// `BOUND_REQUESTS` more in each `WINDOW`.
@@ -81,34 +81,51 @@
     changes: Vec<u64>,
     /// For how long both leaders place after a change.
     overlap: u64,
+    /// When a daemon restarts.
+    restarts: Vec<u64>,
+    /// Heartbeats that are lost, in a hundred.
+    lost: u32,
 }
 
-impl Arbitrary for Schedule {
-    fn arbitrary(g: &mut Gen) -> Schedule {
+impl Schedule {
+    fn random(seed: u64) -> Schedule {
+        let mut random = fastrand::Rng::with_seed(seed);
         Schedule {
-            daemons: 2 + usize::arbitrary(g) % 7,
-            runners: 1 + usize::arbitrary(g) % 4,
-            limit: f64::from(u32::arbitrary(g) % 80) / 10.0,
-            demand: 1 + usize::arbitrary(g) % 3,
-            changes: (0..u32::arbitrary(g) % 8).map(|_| u64::arbitrary(g) % DAY.0).collect(),
-            overlap: u64::arbitrary(g) % 1_200,
+            daemons: random.usize(2..9),
+            runners: random.usize(1..5),
+            limit: f64::from(random.u32(..80)) / 10.0,
+            demand: random.usize(1..4),
+            changes: (0..random.usize(..8)).map(|_| random.u64(..DAY.0)).collect(),
+            overlap: random.u64(..1_200),
+            restarts: (0..random.usize(..4)).map(|_| random.u64(..DAY.0 / STEP.0) * STEP.0).collect(),
+            lost: random.u32(..30),
         }
     }
 }
 
-/// Plays a schedule; returns when requests were sent to the runner with the limit.
+/// Plays a schedule; returns when requests that count were sent to the runner with the limit.
 fn play(schedule: &Schedule) -> Vec<Millis> {
     let mut fleets: Vec<Fleet> = (0..schedule.daemons).map(|_| fleet(schedule.runners)).collect();
     let mut sent = Vec::new();
+    // From when on the users' bound holds for each daemon: a restart excuses it.
+    let mut started = vec![Millis(0); schedule.daemons];
+    let mut random = fastrand::Rng::with_seed(schedule.restarts.len() as u64);
     for now in (0..DAY.0).step_by(STEP.0 as usize).map(Millis) {
+        if schedule.restarts.contains(&now.0) {
+            let daemon = random.usize(..schedule.daemons);
+            (fleets[daemon], started[daemon]) = (fleet(schedule.runners), now + CONTACT_TIME);
+        }
         let leader = |at: u64| schedule.changes.iter().filter(|change| **change <= at).count() % schedule.daemons;
         let leaders = [leader(now.0), leader(now.0.saturating_sub(schedule.overlap))];
         for request in 0..schedule.demand {
-            let leading = &mut fleets[leaders[request % 2]];
+            let leader = leaders[request % 2];
+            let leading = &mut fleets[leader];
             if let Choice::Placed(placement) = choose(leading, true, now) {
                 leading.take_allowance(placement.key, now);
                 if placement.record.name == name(0) {
-                    sent.push(now);
+                    if started[leader] <= now {
+                        sent.push(now);
+                    }
                     let answered = &mut fleets[request % schedule.daemons];
                     let first = key(answered, 0);
                     answered.note_limit(first, rate(schedule.limit), now, now);
@@ -116,9 +133,16 @@
             }
         }
         if now.0.is_multiple_of(120) {
-            let limits: Vec<Vec<RunnerLimit>> = fleets.iter().map(|fleet| fleet.own_limits(now)).collect();
-            for fleet in &mut fleets {
-                limits.iter().for_each(|limits| drop(fleet.apply_peer_limits(limits, now)));
+            let reports: Vec<_> = fleets.iter().map(|fleet| (fleet.own_limits(now), fleet.own_permits())).collect();
+            for (receiver, fleet) in fleets.iter_mut().enumerate() {
+                for (sender, (limits, permits)) in reports.iter().enumerate().filter(|(sender, _)| *sender != receiver)
+                {
+                    if random.u32(..100) < schedule.lost {
+                        continue;
+                    }
+                    fleet.apply_peer_limits(limits, now);
+                    fleet.apply_peer_permits(&sender.to_string(), permits, now);
+                }
             }
         }
     }
@@ -131,16 +155,30 @@
     settled.iter().map(in_window).max().unwrap_or(0)
 }
 
-quickcheck! {
-    fn a_limit_holds_for_all_daemons_together_while_leaders_change(schedule: Schedule) -> bool {
+#[test]
+fn a_limit_holds_for_all_daemons_together_while_leaders_change() {
+    for seed in 0..SCHEDULES {
+        let schedule = Schedule::random(seed);
+
+        let most = most_in_window(&play(&schedule));
+
         let allowed = schedule.limit * BOUND_RATIO * WINDOW.0 as f64 / 1_000.0 + BOUND_REQUESTS;
-        most_in_window(&play(&schedule)) as f64 <= allowed
+        assert!(most as f64 <= allowed, "seed {seed}: {most} requests, {allowed} are allowed: {schedule:?}");
     }
 }
 
 #[test]
 fn a_limit_is_used_by_the_leader_and_what_exceeds_it_goes_elsewhere_or_is_refused() {
-    let schedule = Schedule { daemons: 8, runners: 1, limit: 10.0, demand: 2, changes: Vec::new(), overlap: 0 };
+    let schedule = Schedule {
+        daemons: 8,
+        runners: 1,
+        limit: 10.0,
+        demand: 2,
+        changes: Vec::new(),
+        overlap: 0,
+        restarts: Vec::new(),
+        lost: 0,
+    };
     let mut alone = fleet(1);
     let first = key(&alone, 0);
     alone.note_limit(first, rate(2.0), Millis(0), Millis(0));
