Keep what crashes runners in the store

What callers saw: after all daemons had ended at once, a request that had ended three runners ended three more, and broke off what these were answering.

Cause: crashes were known to daemons alone. The class: what must outlive the daemons was kept in their memory.

Evidence: a_request_that_crashed_runners_is_refused_after_all_daemons_ended failed before (502 twice, then 503).

Why this works: a daemon that finds a request or a prompt part blocked, and saw one of its crashes, writes them under a lease of ten minutes, once per suspect; a few daemons do. All daemons list their common prefix every eight seconds anyhow, and at their start, so that reading costs no further call. Ages are stored with the time of the write; a clock that went back makes them no younger than they were then. Only what is blocked for itself is stored, no candidates.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -3,7 +3,7 @@
 mod suspect;
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use teaselcroft_parts::Millis;
 
@@ -17,7 +17,7 @@
 const MIN_UNEXPLAINED: usize = 2;
 
 /// How long a crash counts, unless an answer clears the suspect before.
-const CRASH_TTL: Millis = Millis(600_000);
+pub const CRASH_TTL: Millis = Millis(600_000);
 
 /// For this long after a request was answered, the parts of its prompt are known to be harmless.
 const ANSWER_TTL: Millis = Millis(10_000);
@@ -70,6 +70,8 @@
     answered: HashMap<Suspect, Answered>,
     /// The suspects that answers cleared; crashes before that do not count.
     cleared: HashMap<Suspect, Answered>,
+    /// The suspects whose crashes the store has, or is about to get.
+    stored: HashSet<Suspect>,
     /// The digest of crashes and clearances, unless they changed since it was computed.
     digest: Option<u64>,
     expired_at: Millis,
@@ -173,6 +175,34 @@
         recent.map(|(suspect, answer)| suspect.clearance(age(answer.at, now))).take(MAX_REPORTED).collect()
     }
 
+    /// The suspects among `carried` that are blocked for themselves, of whose crashes this daemon saw one, and that the store
+    /// does not have yet.
+    pub fn unstored(&self, carried: &[Suspect], now: Millis) -> Vec<Suspect> {
+        let is_own =
+            |suspect: &Suspect| self.suspects.get(suspect).is_some_and(|seen| seen.iter().any(|one| one.is_own));
+        let is_due = |suspect: &&Suspect| {
+            !self.stored.contains(*suspect) && is_own(suspect) && self.is_blocked(std::slice::from_ref(*suspect), now)
+        };
+        carried.iter().filter(is_due).copied().collect()
+    }
+
+    /// Records that the store has a suspect's crashes, or is about to get them.
+    pub fn set_stored(&mut self, suspect: Suspect) {
+        self.stored.insert(suspect);
+    }
+
+    /// Records that the store has these crashes.
+    pub fn note_stored(&mut self, crashes: &[Crash]) {
+        self.stored.extend(crashes.iter().map(|crash| Suspect::from(*crash)));
+    }
+
+    /// The known crashes of a suspect.
+    pub fn crashes_of(&self, suspect: Suspect, now: Millis) -> Vec<Crash> {
+        let sightings = self.suspects.get(&suspect).map_or(&[][..], Vec::as_slice);
+        let crash = |sighting: &Sighting| Crash { age_ms: age(sighting.at, now), ..suspect.crash_of(sighting.runner) };
+        sightings.iter().map(crash).collect()
+    }
+
     /// All known crashes and clearances, for a peer that may have missed some.
     pub fn all(&self, now: Millis) -> CrashList {
         let crashes = self.suspects.iter().flat_map(|(suspect, sightings)| {
@@ -281,6 +311,7 @@
             !sightings.is_empty()
         });
         let suspects = &self.suspects;
+        self.stored.retain(|suspect| suspects.contains_key(suspect));
         self.crashes.retain(|runner, others| {
             let is_seen = |other: &Suspect| {
                 suspects.get(other).is_some_and(|sightings| sightings.iter().any(|sighting| sighting.runner == *runner))
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -12,7 +12,7 @@
 
 use crate::dialect::Dialect;
 use crate::discovery::{
-    StoreHealth, drop_missing, follow_configuration, follow_runners, list_members, stay_registered,
+    StoreHealth, drop_missing, follow_configuration, follow_runners, list_members, stay_registered, store_crashes,
 };
 use crate::front::serve_caller;
 use crate::gateway::Gateway;
@@ -76,6 +76,7 @@
         control.spawn(follow_runners(gateway.clone(), store.clone(), health.clone(), missing_grace)).detach();
         control.spawn(list_members(gateway.clone(), store.clone())).detach();
         control.spawn(stay_registered(gateway.clone(), store.clone(), lease.clone())).detach();
+        control.spawn(store_crashes(gateway.clone(), store.clone())).detach();
         control.spawn(send_heartbeats(gateway.clone(), socket.clone())).detach();
         gateway.placer.open(socket.clone());
         control.spawn(report_loads(gateway.clone(), socket.clone())).detach();
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,6 +6,7 @@
 mod runner_index;
 mod runners;
 mod store_health;
+mod stored_crashes;
 
 use std::sync::Arc;
 
@@ -24,6 +25,11 @@
 pub use runner_index::{NewsOutcome, RunnerIndex, split_news};
 pub use runners::{drop_missing, follow_runners};
 pub use store_health::StoreHealth;
+pub use stored_crashes::store_crashes;
+use stored_crashes::{CRASH_PREFIX, learn_crashes};
+
+/// The prefix of all keys that daemons write.
+const OWN_PREFIX: &str = "teaselcroft/";
 
 /// The key prefix under which daemons register themselves.
 const MEMBER_PREFIX: &str = "teaselcroft/daemons/";
@@ -85,13 +91,14 @@
     }
 }
 
-/// Lists the registered daemons from time to time; heartbeats cover the changes in between. Never returns.
+/// Lists the registered daemons, and what crashes runners, from time to time; heartbeats cover the changes in between.
+/// Never returns.
 pub async fn list_members<D: Dialect, S: Store>(gateway: Arc<Gateway<D>>, store: Arc<S>) {
     loop {
-        let is_known = match store.list_stale(MEMBER_PREFIX).await {
-            Ok(changes) => learn_members(&gateway, changes.changes),
+        let is_known = match store.list_stale(OWN_PREFIX).await {
+            Ok(changes) => learn_entries(&gateway, changes.changes),
             Err(error) => {
-                log::debug!("failed to list the registered daemons: {error}");
+                log::debug!("failed to list the daemons' entries: {error}");
                 false
             }
         };
@@ -100,12 +107,17 @@
     }
 }
 
-/// Adds the listed daemons to the roster. Returns true if the list has more than one entry, that
-/// is, other daemons than this one.
-fn learn_members<D: Dialect>(gateway: &Gateway<D>, changes: Vec<Change>) -> bool {
+/// Adds the listed daemons to the roster, and the listed crashes to those that are known. Returns true if more than one
+/// daemon is listed, that is, others than this one.
+fn learn_entries<D: Dialect>(gateway: &Gateway<D>, changes: Vec<Change>) -> bool {
     let mut listed = Vec::new();
     for change in changes {
-        let name = change.key.strip_prefix(MEMBER_PREFIX).unwrap_or(&change.key).to_owned();
+        if let Some(value) = change.value.as_deref().filter(|_| change.key.starts_with(CRASH_PREFIX)) {
+            learn_crashes(gateway, &change.key, value);
+        }
+        let Some(name) = change.key.strip_prefix(MEMBER_PREFIX).map(str::to_owned) else {
+            continue;
+        };
         match change.value.as_deref().map(MemberRecord::decode) {
             Some(Ok(member)) if member.name != name => {
                 log_event!(Event::EntryIgnored, key = name, reason = "it names another daemon", source = "store");
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -39,6 +39,8 @@
     AddressesUnheard = 626;
     /// A peer's known crashes were fetched, since they differed from the known ones.
     CrashesFetched = 627;
+    /// The crashes of a suspect that is blocked were written to the store.
+    CrashesStored = 628;
     /// A configuration became active.
     ConfigApplied = 630;
     /// A peer states a newer configuration than the active one; it is fetched unless the store delivers it first.
@@ -71,4 +73,6 @@
     RequestEnded = 654;
     /// The caller disconnected before its answer was complete.
     CallerLeft = 655;
+    /// A runner broke off after which the request that it ran is blocked, as it crashes runners.
+    RequestBlocked = 656;
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -174,7 +174,7 @@
     }
 
     fn is_blocked(&self) -> bool {
-        self.gateway.crashes().is_blocked(&self.suspects, self.gateway.now())
+        self.gateway.is_blocked(&self.suspects)
     }
 
     /// The content, and the suspects that are parts of the prompt.
--- a/crates/gateway/src/forward/crash.rs
+++ b/crates/gateway/src/forward/crash.rs
@@ -54,6 +54,15 @@
         if is_down {
             suspicious.into_iter().for_each(|suspect| self.note_crash(suspect, runner));
         }
+        let is_blocked = self.gateway.is_blocked(&self.suspects);
+        if is_blocked {
+            log_event!(
+                Event::RequestBlocked,
+                request = self.job.caller_fields.request_id,
+                runner = placement.record.name,
+                content = content
+            );
+        }
     }
 
     fn note_crash(&self, suspect: Suspect, runner: u64) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -52,6 +52,8 @@
     crashes: Mutex<CrashTracker>,
     crash_noted: event_listener::Event,
     crash_sync: Mutex<CrashSync>,
+    unstored_sender: Sender<Suspect>,
+    unstored: Receiver<Suspect>,
     /// The client side of placement: asks the placement leader for a runner.
     pub placer: Placer,
     /// Metrics that the metrics port serves.
@@ -70,6 +72,9 @@
 /// The most messages with runner changes from peers in the queue; further ones are dropped.
 const MAX_QUEUED_CHANGES: usize = 64;
 
+/// The most suspects in the queue for the store; further ones are queued when they are met again.
+const MAX_UNSTORED: usize = 64;
+
 /// A planned stop ends this long before the platform would kill the process.
 const STOP_MARGIN: Millis = Millis(350);
 
@@ -98,6 +103,7 @@
         };
         let (stop_sender, stop) = async_channel::bounded(1);
         let (heartbeat_sender, heartbeat_requests) = async_channel::bounded(1);
+        let (unstored_sender, unstored) = async_channel::bounded(MAX_UNSTORED);
         let (changes_sender, changes) = async_channel::bounded(MAX_QUEUED_CHANGES);
         Gateway {
             dialect,
@@ -114,6 +120,8 @@
             crashes: Mutex::default(),
             crash_noted: event_listener::Event::new(),
             crash_sync: Mutex::default(),
+            unstored_sender,
+            unstored,
             placer: Placer::default(),
             metrics: Metrics::default(),
             body_memory: BodyMemory::new(settings.memory_mb * 1_000_000 / BODY_MEMORY_DIVISOR),
@@ -223,6 +231,31 @@
         lock(&self.crash_sync)
     }
 
+    /// Whether a request that carries `suspects` must not run, because they crash runners. Queues what this daemon saw of
+    /// that for the store.
+    pub fn is_blocked(&self, suspects: &[Suspect]) -> bool {
+        let mut crashes = self.crashes();
+        let now = self.now();
+        let is_blocked = crashes.is_blocked(suspects, now);
+        if is_blocked {
+            for suspect in crashes.unstored(suspects, now) {
+                if self.unstored_sender.try_send(suspect).is_ok() {
+                    crashes.set_stored(suspect);
+                }
+            }
+        }
+        is_blocked
+    }
+
+    /// Waits for the next suspect whose crashes the store does not have yet.
+    pub async fn next_unstored(&self) -> Suspect {
+        match self.unstored.recv().await {
+            Ok(suspect) => suspect,
+            // This struct also holds the sender, so the channel never closes.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
     /// Adds all crashes and clearances that a peer knows; returns how many there are.
     pub fn merge_crashes(&self, list: CrashList) -> usize {
         let now = self.now();
@@ -254,7 +287,7 @@
     pub async fn wait_for_block(&self, suspects: &[Suspect]) {
         loop {
             let noted = self.crash_noted.listen();
-            if self.crashes().is_blocked(suspects, self.now()) {
+            if self.is_blocked(suspects) {
                 return;
             }
             noted.await;
