Store a blocked content although its prompt's parts could explain it

Cause: a suspect was stored if it is blocked for a request that carries it alone. A content never comes without its parts, which are candidates as well and explained its crashes.

Evidence: the_store_gets_a_blocked_content_beside_its_parts_and_a_part_that_is_blocked_alone failed before (no content).

Why this works: for a content the parts that it carries do not count as another explanation, as when it is refused.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -175,13 +175,14 @@
         recent.map(|(suspect, answer)| suspect.clearance(age(answer.at, now))).take(MAX_REPORTED).collect()
     }
 
-    /// The suspects among `carried` that are blocked for themselves, of whose crashes this daemon saw one, and that the store
-    /// does not have yet.
+    /// The suspects among `carried` that are blocked, of whose crashes this daemon saw one, and that the store does not have
+    /// yet. A part must be blocked for requests that carry nothing else of this; a content always comes with its parts.
     pub fn unstored(&self, carried: &[Suspect], now: Millis) -> Vec<Suspect> {
         let is_own =
             |suspect: &Suspect| self.suspects.get(suspect).is_some_and(|seen| seen.iter().any(|one| one.is_own));
         let is_due = |suspect: &&Suspect| {
-            !self.stored.contains(*suspect) && is_own(suspect) && self.is_blocked(std::slice::from_ref(*suspect), now)
+            let beside = if suspect.is_part() { std::slice::from_ref(*suspect) } else { carried };
+            !self.stored.contains(*suspect) && is_own(suspect) && self.is_proven(**suspect, beside, now)
         };
         carried.iter().filter(is_due).copied().collect()
     }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -219,6 +219,28 @@
     );
 }
 
+#[test]
+fn the_store_gets_a_blocked_content_beside_its_parts_and_a_part_that_is_blocked_alone() {
+    let [content, other] = [7, 8].map(Suspect::Content);
+    let [first, crashing] = [1, 2].map(Suspect::Part);
+    let mut trackers = [CrashTracker::default(), CrashTracker::default()];
+    for runner in 1..=3 {
+        for suspect in [content, first, crashing] {
+            trackers[0].note(suspect.crash_of(runner), true, Millis(runner * 100));
+        }
+        for suspect in [Suspect::Content(100 + runner), crashing] {
+            trackers[1].note(suspect.crash_of(runner), true, Millis(runner * 100));
+        }
+    }
+    let carried = [[content, first, crashing], [other, first, crashing]];
+
+    let unstored = [0, 1].map(|index| trackers[index].unstored(&carried[index], Millis(400)));
+    trackers[0].set_stored(content);
+
+    assert_eq!(unstored, [vec![content], vec![crashing]]);
+    assert_eq!(trackers[0].unstored(&carried[0], Millis(400)), Vec::new(), "once");
+}
+
 #[test]
 fn other_parts_at_the_same_runners_do_not_hide_a_request_for_long() {
     let (content, other) = (Suspect::Content(7), Suspect::Part(9));
