--- a/crates/gateway/src/discovery/stored_crashes.rs
+++ b/crates/gateway/src/discovery/stored_crashes.rs
@@ -1,7 +1,6 @@
 //! Keeps what crashes runners in the store, for daemons that start when no other one is left to tell.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use async_io::Timer;
 use prost::Message;
@@ -10,7 +9,7 @@
 use crate::backoff::Backoff;
 use crate::crash_tracker::{CRASH_TTL, Suspect};
 use crate::dialect::Dialect;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, unix_ms};
 use crate::heartbeat::{Crash, CrashList};
 use crate::store::{Store, StoreError};
 use crate::{Event, log_event};
@@ -78,8 +77,3 @@
     gateway.crashes().note_stored(&crashes);
     gateway.merge_crashes(CrashList { crashes, cleared: Vec::new() });
 }
-
-fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -18,7 +18,6 @@
     BodyError, BodyLength, BodyReader, Connection, PathTimeout, ResponseHead, is_hop_by_hop, response_body,
 };
 use crate::http_client::connect;
-use crate::peers::log_limit;
 use crate::{Event, RouteKind, log_event};
 
 /// How long connecting to a runner may take.
@@ -121,29 +120,11 @@
         let head = or(write, or(self.wait_for_head(&mut connection, is_kept, placement.pressure), block)).await;
         let (head, reply) = match head {
             Ok(answer) => answer,
-            Err(HeadFailure::Blocked) => return AttemptOutcome::Withdrawn,
-            Err(HeadFailure::Disconnected) => {
-                self.record_crash(placement, BreakPoint::Head).await;
-                return AttemptOutcome::Failed(None);
-            }
-            Err(HeadFailure::Malformed(reason)) => {
-                self.log_cut_off(placement, reason);
-                return AttemptOutcome::Failed(None);
-            }
-            Err(HeadFailure::TimedOut) => return AttemptOutcome::Failed(None),
+            Err(failure) => return self.note_head_failure(placement, &failure).await,
         };
         self.gateway.fleet().answered(placement.key);
         let is_reusable = written.load(Ordering::Relaxed);
-        if !self.gateway.dialect.is_misdirected(head.status) {
-            self.note_limit(placement, &reply, sent_at);
-            if reply.is_leaving {
-                self.note_leaving(placement);
-            }
-            if let Some(span) = reply.retry_after.filter(|_| head.status == 503) {
-                self.gateway.fleet().hold(placement.key, span, self.gateway.now());
-                log_event!(Event::RunnerHeld, runner = placement.record.name, span = span);
-            }
-        }
+        self.note_statements(placement, &head, &reply, sent_at);
         if reply.not_run || self.gateway.dialect.is_misdirected(head.status) {
             self.executions -= 1;
             self.caller.set_dispatched(self.executions > 0);
@@ -169,20 +150,14 @@
         self.relay_buffered(placement, connection, head, reply, length, is_reusable).await
     }
 
-    fn note_leaving(&self, placement: &Placement) {
-        let is_news = self.gateway.fleet().note_leaving(placement.key, self.gateway.now());
-        if is_news {
-            log_event!(Event::RunnerLeft, runner = placement.record.name, source = "runner");
-            self.gateway.request_heartbeats();
-        }
-    }
-
-    fn note_limit(&self, placement: &Placement, reply: &RunnerReply, sent_at: Millis) {
-        let is_changed = self.gateway.fleet().note_limit(placement.key, reply.rate_limit, sent_at, self.gateway.now());
-        if is_changed {
-            log_limit(&placement.record.name, reply.rate_limit, "runner");
-            self.gateway.request_heartbeats();
+    async fn note_head_failure(&self, placement: &Placement, failure: &HeadFailure) -> AttemptOutcome {
+        match failure {
+            HeadFailure::Blocked => return AttemptOutcome::Withdrawn,
+            HeadFailure::Disconnected => self.record_crash(placement, BreakPoint::Head).await,
+            HeadFailure::Malformed(reason) => self.log_cut_off(placement, reason),
+            HeadFailure::TimedOut => {}
         }
+        AttemptOutcome::Failed(None)
     }
 
     async fn relay_buffered(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,7 @@
 //! State that all tasks of a gateway daemon share.
 
+mod crashes;
+
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
@@ -15,7 +17,7 @@
 use crate::dialect::Dialect;
 use crate::discovery::RunnerIndex;
 use crate::fleet::Fleet;
-use crate::heartbeat::{Crash, CrashList, MemberRecord, Phase};
+use crate::heartbeat::{MemberRecord, Phase};
 use crate::metrics::Metrics;
 use crate::placer::Placer;
 use crate::retry_limiter::RetryLimiter;
@@ -91,7 +93,7 @@
     pub fn new(settings: Settings, dialect: D) -> Gateway<D> {
         let me = MemberRecord {
             name: settings.daemon.to_string(),
-            incarnation: incarnation(),
+            incarnation: unix_ms(),
             zone: settings.zone.to_string(),
             ip: settings.ip.to_string(),
             front_port: settings.front.port().into(),
@@ -226,74 +228,6 @@
         lock(&self.crashes)
     }
 
-    /// Locks the decision when to fetch peers' known crashes.
-    pub fn crash_sync(&self) -> MutexGuard<'_, CrashSync> {
-        lock(&self.crash_sync)
-    }
-
-    /// Whether a request that carries `suspects` must not run, because they crash runners. Queues what this daemon saw of
-    /// that for the store.
-    pub fn is_blocked(&self, suspects: &[Suspect]) -> bool {
-        let mut crashes = self.crashes();
-        let now = self.now();
-        let is_blocked = crashes.is_blocked(suspects, now);
-        if is_blocked {
-            for suspect in crashes.unstored(suspects, now) {
-                if self.unstored_sender.try_send(suspect).is_ok() {
-                    crashes.set_stored(suspect);
-                }
-            }
-        }
-        is_blocked
-    }
-
-    /// Waits for the next suspect whose crashes the store does not have yet.
-    pub async fn next_unstored(&self) -> Suspect {
-        match self.unstored.recv().await {
-            Ok(suspect) => suspect,
-            // This struct also holds the sender, so the channel never closes.
-            Err(_) => std::future::pending().await,
-        }
-    }
-
-    /// Adds all crashes and clearances that a peer knows; returns how many there are.
-    pub fn merge_crashes(&self, list: CrashList) -> usize {
-        let now = self.now();
-        let count = list.crashes.len();
-        // Clearances first: on a daemon that runs for a shorter time than both, a crash after a clearance has its age.
-        for clearance in list.cleared {
-            self.crashes().note_clearance(clearance, now);
-        }
-        for crash in list.crashes {
-            self.note_crash(crash, false);
-        }
-        count
-    }
-
-    /// Records a crash; `is_own` says that this daemon saw it itself. Requests that wait for their answers check whether
-    /// they are blocked by now.
-    pub fn note_crash(&self, crash: Crash, is_own: bool) {
-        let is_nearly_proven = {
-            let mut crashes = self.crashes();
-            crashes.note(crash, is_own, self.now());
-            crashes.is_nearly_proven(crash.into())
-        };
-        if is_nearly_proven {
-            self.crash_noted.notify(usize::MAX);
-        }
-    }
-
-    /// Waits until a request that carries `suspects` must not run any more, because they crash runners.
-    pub async fn wait_for_block(&self, suspects: &[Suspect]) {
-        loop {
-            let noted = self.crash_noted.listen();
-            if self.is_blocked(suspects) {
-                return;
-            }
-            noted.await;
-        }
-    }
-
     /// The active configuration, or `None` before the first one arrives.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         let current = self.configuration.read().unwrap_or_else(PoisonError::into_inner);
@@ -408,8 +342,8 @@
     }
 }
 
-/// The Unix time in milliseconds, which orders the starts of a daemon as long as the VM's clock does not go back.
-fn incarnation() -> u64 {
+/// The Unix time in milliseconds. It orders the starts of a daemon as long as the VM's clock does not go back.
+pub fn unix_ms() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     now.map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
 }
--- /dev/null
+++ b/crates/gateway/src/gateway/crashes.rs
@@ -0,0 +1,79 @@
+//! Records crashes of runners, shares them and blocks the requests that cause them.
+
+use std::sync::MutexGuard;
+
+use super::{Gateway, lock};
+use crate::crash_sync::CrashSync;
+use crate::crash_tracker::Suspect;
+use crate::dialect::Dialect;
+use crate::heartbeat::{Crash, CrashList};
+
+impl<D: Dialect> Gateway<D> {
+    /// Locks the decision when to fetch peers' known crashes.
+    pub fn crash_sync(&self) -> MutexGuard<'_, CrashSync> {
+        lock(&self.crash_sync)
+    }
+
+    /// Whether a request that carries `suspects` must not run, because they crash runners. Queues what this daemon saw of
+    /// that for the store.
+    pub fn is_blocked(&self, suspects: &[Suspect]) -> bool {
+        let mut crashes = self.crashes();
+        let now = self.now();
+        let is_blocked = crashes.is_blocked(suspects, now);
+        if is_blocked {
+            for suspect in crashes.unstored(suspects, now) {
+                if self.unstored_sender.try_send(suspect).is_ok() {
+                    crashes.set_stored(suspect);
+                }
+            }
+        }
+        is_blocked
+    }
+
+    /// Waits for the next suspect whose crashes the store does not have yet.
+    pub async fn next_unstored(&self) -> Suspect {
+        match self.unstored.recv().await {
+            Ok(suspect) => suspect,
+            // This struct also holds the sender, so the channel never closes.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    /// Adds all crashes and clearances that a peer knows; returns how many there are.
+    pub fn merge_crashes(&self, list: CrashList) -> usize {
+        let now = self.now();
+        let count = list.crashes.len();
+        // Clearances first: on a daemon that runs for a shorter time than both, a crash after a clearance has its age.
+        for clearance in list.cleared {
+            self.crashes().note_clearance(clearance, now);
+        }
+        for crash in list.crashes {
+            self.note_crash(crash, false);
+        }
+        count
+    }
+
+    /// Records a crash; `is_own` says that this daemon saw it itself. Requests that wait for their answers check whether
+    /// they are blocked by now.
+    pub fn note_crash(&self, crash: Crash, is_own: bool) {
+        let is_nearly_proven = {
+            let mut crashes = self.crashes();
+            crashes.note(crash, is_own, self.now());
+            crashes.is_nearly_proven(crash.into())
+        };
+        if is_nearly_proven {
+            self.crash_noted.notify(usize::MAX);
+        }
+    }
+
+    /// Waits until a request that carries `suspects` must not run any more, because they crash runners.
+    pub async fn wait_for_block(&self, suspects: &[Suspect]) {
+        loop {
+            let noted = self.crash_noted.listen();
+            if self.is_blocked(suspects) {
+                return;
+            }
+            noted.await;
+        }
+    }
+}
