Halve the crashes in one heartbeat

With their ages, 256 crashes and 256 clearances beside loads and prefixes could exceed the 16 KiB that a datagram may have, and a datagram that is cut off is lost whole. What does not fit is fetched by digest. No fault was seen; the sizes are by count: 26 bytes a crash, 15 a clearance.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -29,7 +29,7 @@
 const MIN_REPORT_TTL: Millis = Millis(3_000);
 
 /// The most crashes, and the most clearances, in one heartbeat.
-const MAX_REPORTED: usize = 256;
+const MAX_REPORTED: usize = 128;
 
 /// The most suspects tracked; beyond that, those with the fewest crashes are dropped, the oldest first.
 const MAX_SUSPECTS: usize = 4_096;
@@ -59,9 +59,10 @@
 
 /// Tracks by content and by prompt part the requests after which runners crashed.
 ///
-/// All unanswered requests at a runner are suspects of its crash. An answer that has begun clears the parts that it was made
-/// for, a whole one the content too, here and at peers. What crashes runners is never answered, so its crashes add up; a harmless part that always comes
-/// together with it is told apart by requests that carry only one of the two, which are admitted.
+/// All unanswered requests at a runner are suspects of its crash. An answer that has begun clears the parts that it was
+/// made for, a whole one the content too, here and at peers. What crashes runners is never answered, so its crashes add
+/// up; a harmless part that always comes together with it is told apart by requests that carry only one of the two, which
+/// are admitted.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
     suspects: HashMap<Suspect, Vec<Sighting>>,
@@ -206,11 +207,7 @@
 
     /// All known crashes and clearances, for a peer that may have missed some.
     pub fn all(&self, now: Millis) -> CrashList {
-        let crashes = self.suspects.iter().flat_map(|(suspect, sightings)| {
-            let crash =
-                |sighting: &Sighting| Crash { age_ms: age(sighting.at, now), ..suspect.crash_of(sighting.runner) };
-            sightings.iter().map(crash)
-        });
+        let crashes = self.suspects.keys().flat_map(|suspect| self.crashes_of(*suspect, now));
         let cleared = self.cleared.iter().map(|(suspect, answer)| suspect.clearance(age(answer.at, now)));
         CrashList { crashes: crashes.collect(), cleared: cleared.collect() }
     }
