--- a/crates/gateway/tests/rate_limits.rs
+++ b/crates/gateway/tests/rate_limits.rs
@@ -14,6 +14,11 @@
 const DAY: Millis = Millis(40_000);
 const SCHEDULES: u64 = 300;
 
+/// The daemons of a large fleet, and the time between two heartbeats of one in a large and in a small fleet.
+const LARGE_FLEET: usize = 65;
+const LARGE_PERIOD: Millis = Millis(640);
+const SMALL_PERIOD: Millis = Millis(120);
+
 /// The users' bound: from `CONTACT_TIME` after its first statement, a runner gets at most `BOUND_RATIO` of its limit and
 /// `BOUND_REQUESTS` more in each `WINDOW`.
 const CONTACT_TIME: Millis = Millis(3_000);
@@ -72,6 +77,8 @@
 #[derive(Debug, Clone)]
 struct Schedule {
     daemons: usize,
+    /// The time between heartbeats.
+    period: Millis,
     runners: usize,
     /// The limit of the first runner.
     limit: f64,
@@ -90,8 +97,10 @@
 impl Schedule {
     fn random(seed: u64) -> Schedule {
         let mut random = fastrand::Rng::with_seed(seed);
+        let is_large = random.u32(..20) == 0;
         Schedule {
-            daemons: random.usize(2..9),
+            daemons: if is_large { LARGE_FLEET } else { random.usize(2..9) },
+            period: if is_large { LARGE_PERIOD } else { SMALL_PERIOD },
             runners: random.usize(1..5),
             limit: f64::from(random.u32(..80)) / 10.0,
             demand: random.usize(1..4),
@@ -132,7 +141,7 @@
                 }
             }
         }
-        if now.0.is_multiple_of(120) {
+        if now.0.is_multiple_of(schedule.period.0) {
             let reports: Vec<_> = fleets.iter().map(|fleet| (fleet.own_limits(now), fleet.own_permits())).collect();
             for (receiver, fleet) in fleets.iter_mut().enumerate() {
                 for (sender, (limits, permits)) in reports.iter().enumerate().filter(|(sender, _)| *sender != receiver)
@@ -171,6 +180,7 @@
 fn a_limit_is_used_by_the_leader_and_what_exceeds_it_goes_elsewhere_or_is_refused() {
     let schedule = Schedule {
         daemons: 8,
+        period: SMALL_PERIOD,
         runners: 1,
         limit: 10.0,
         demand: 2,
