Keep short requests with longer pauses apart from long prompts

Cause: a request counted as interactive if its target pause was at most 300 ms. Ruled out: capacity (prefill needs a fifth of it once parts are cached) and the placement leader (97% of the late questions were granted by it).

Change: interactive is a request whose whole prompt fits into one prefill chunk and which may pause for less than a second. A long prompt with short pauses stays with the long ones.

Test: fails before (short and long prompts on the same runners), passes after.

--- a/crates/gateway/src/fleet/placement_request.rs
+++ b/crates/gateway/src/fleet/placement_request.rs
@@ -24,13 +24,18 @@
     pub uses_limited: bool,
 }
 
-/// Requests whose longest allowed pause is at most this are kept apart from long prompts: each prefill chunk of a
-/// long prompt delays every token of the batch, and one event consists of several tokens.
-const MAX_INTERACTIVE_PAUSE: Millis = Millis(300);
+/// Requests that may pause for less than this are kept apart from long prompts: each prefill chunk of a long prompt delays
+/// every token of the batch, and one event consists of several tokens.
+const MIN_PATIENT_PAUSE: Millis = Millis(1_000);
+
+/// The prompt tokens that an engine prefills in one step. A longer prompt delays the batch by several full steps, so that
+/// its request is placed like other long ones however short its own pauses must be.
+const PREFILL_CHUNK_TOKENS: u32 = 4_096;
 
 impl PlacementRequest<'_> {
-    /// Whether long prompts on the same runner would delay its events too much.
+    /// Whether long prompts on the same runner would delay its events too much, and it delays no others.
     pub fn is_interactive(&self) -> bool {
-        self.longest_pause.is_some_and(|pause| pause <= MAX_INTERACTIVE_PAUSE)
+        self.longest_pause.is_some_and(|pause| pause < MIN_PATIENT_PAUSE)
+            && self.prompt.is_some_and(|prompt| prompt.input_tokens <= PREFILL_CHUNK_TOKENS)
     }
 }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -149,6 +149,27 @@
     assert_eq!(used.len(), 4);
 }
 
+/// A deployment whose events hold many tokens has longer target pauses; long prompts delay its short requests all the same.
+#[test]
+fn short_requests_with_pauses_of_half_a_second_are_kept_apart_from_long_prompts() {
+    let mut fleet = fleet(18);
+    let mut long: Vec<RunnerName> = Vec::new();
+    let mut short = Vec::new();
+
+    for number in 0..60 {
+        let now = Millis(number * 10);
+        long.push(send(&mut fleet, &prompt(number, 13_300, 3_720), Some(Millis(2_000)), now).record.name.clone());
+        long.push(send(&mut fleet, &prompt(1_000 + number, 6_300, 2_890), Some(Millis(800)), now).record.name.clone());
+        short.push(send(&mut fleet, &prompt(5_000 + number, 350, 1_110), Some(Millis(500)), now).record.name.clone());
+    }
+
+    let mixed = short.iter().filter(|name| long.contains(name)).count();
+    assert_eq!(mixed, 0, "short requests on runners with long prompts: {short:?}");
+    long.sort_unstable();
+    long.dedup();
+    assert_eq!(long.len(), 14, "long prompts, also those with short pauses, use all other runners");
+}
+
 #[test]
 fn a_runner_that_refuses_connections_is_avoided_for_the_returned_time() {
     let mut fleet = fleet(2);
