Read from the runners what they have cached after all daemons restarted

Cause: which runner has which shared part is known to daemons only. Ruled out: queries without reply, the store's link.

Change: the daemon that will lead placement asks each runner with an engine for the list of its cached parts, once, 24 at a time, before it is settled; the list maps parts to runners, and a prompt takes over those prefixes of which a runner lists all parts whole. No settled peer may be known, and no other may come before it, so that one daemon of the fleet asks.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -10,6 +10,7 @@
 use smol::Executor;
 use teaselcroft_parts::Millis;
 
+use crate::cache_reader::read_caches;
 use crate::dialect::Dialect;
 use crate::discovery::{
     StoreHealth, drop_missing, follow_configuration, follow_runners, list_members, stay_registered, store_crashes,
@@ -78,6 +79,7 @@
         control.spawn(follow_runners(gateway.clone(), store.clone(), health.clone(), missing_grace)).detach();
         control.spawn(list_members(gateway.clone(), store.clone())).detach();
         control.spawn(stay_registered(gateway.clone(), store.clone(), lease.clone())).detach();
+        control.spawn(read_caches(gateway.clone())).detach();
         control.spawn(store_crashes(gateway.clone(), store.clone())).detach();
         control.spawn(send_heartbeats(gateway.clone(), socket.clone())).detach();
         control.spawn(announce_phase(gateway.clone(), socket.clone())).detach();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,7 +5,7 @@
 use teaselcroft_parts::{CustomerName, Millis, RunnerName};
 
 use crate::http::Fields;
-use crate::{Configuration, Priority, Prompt, RequestRate, RunnerRecord};
+use crate::{CachedPart, Configuration, Priority, Prompt, RequestRate, RunnerRecord};
 
 /// The platform's header fields of a caller's request, decoded.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -106,4 +106,14 @@
     ///
     /// The bytes are not a valid entry, or a name in it is invalid.
     fn runner(&self, name: &str, bytes: &[u8]) -> Result<RunnerRecord, Self::DecodeError>;
+
+    /// The path at which a runner with a KV cache lists the prompt parts in it.
+    fn cached_parts_path(&self) -> &'static str;
+
+    /// Decodes such a list; parts that cannot be read are left out.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no list.
+    fn cached_parts(&self, bytes: &[u8]) -> Result<Vec<CachedPart>, Self::DecodeError>;
 }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -61,6 +61,8 @@
     RunnerLimited = 646;
     /// A runner asked this daemon for a pause; no request goes there until it ends.
     RunnerHeld = 647;
+    /// This daemon is about to lead placement and read from the runners what they have cached.
+    CachesListed = 648;
     /// A request was sent to a runner.
     Placed = 650;
     /// An attempt failed: the runner was unreachable, declined, or gave no complete usable answer.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -20,7 +20,7 @@
 
 use crate::heartbeat::{CacheNews, RunnerLeft, RunnerLoad};
 use crate::store::Revision;
-use crate::{Prompt, RunnerRecord};
+use crate::{CachedPart, Prompt, RunnerRecord};
 
 use cache_map::{CacheMap, shared_prefixes};
 pub use load::Load;
@@ -210,6 +210,27 @@
         }
     }
 
+    /// Records the prompt parts that a runner lists as cached.
+    pub fn note_listed_caches(&mut self, key: RunnerKey, parts: &[CachedPart], now: Millis) {
+        if self.runners.contains_key(key) {
+            self.caches.note_listed(key, parts, now);
+        }
+    }
+
+    /// The runners of the services in `services` that are ready, with their entries.
+    pub fn ready_runners<'a>(
+        &'a self,
+        services: impl IntoIterator<Item = &'a ModelName>,
+    ) -> impl Iterator<Item = (RunnerKey, &'a Arc<RunnerRecord>)> {
+        let keys = services.into_iter().filter_map(|service| self.services.get(service)).flatten();
+        keys.map(|key| (*key, &self.runners[*key].record)).filter(|(_, record)| record.is_ready)
+    }
+
+    /// Takes over what runners listed of a prompt's shared parts, before the prompt is placed.
+    pub fn adopt_listed_caches(&mut self, prompt: &Prompt, now: Millis) {
+        self.caches.adopt_listed(prompt, now);
+    }
+
     /// Records the prompt prefixes that peers report to have sent to runners.
     pub fn apply_peer_caches(&mut self, news: &[CacheNews], now: Millis) {
         for cached in news {
--- a/crates/gateway/src/fleet/cache_map.rs
+++ b/crates/gateway/src/fleet/cache_map.rs
@@ -5,7 +5,7 @@
 use teaselcroft_parts::Millis;
 
 use super::RunnerKey;
-use crate::Prompt;
+use crate::{CachedPart, Prompt};
 
 /// A prefix that was not used for this long has likely been evicted from the runner's cache.
 const EVICTED_AFTER: Millis = Millis(25_000);
@@ -44,10 +44,25 @@
     pub sources: Vec<RunnerKey>,
 }
 
+/// A runner that listed a prompt part as cached.
+#[derive(Debug, Clone, Copy)]
+struct ListedPart {
+    runner: RunnerKey,
+    tokens: u32,
+    listed_at: Millis,
+}
+
 /// Maps prompt prefixes to the runners that likely have them in their KV cache.
 #[derive(Debug, Default)]
 pub struct CacheMap {
     holders: HashMap<u64, Vec<Holder>>,
+    /// What runners listed, by a hash of model and part; a list does not say which parts precede a part.
+    listed: HashMap<u64, Vec<ListedPart>>,
+}
+
+/// A hash of a model and a prompt part.
+fn part_hash(model: &str, id: u64) -> u64 {
+    rapidhash::v3::rapidhash_v3(model.as_bytes()).rotate_left(17) ^ id
 }
 
 /// The prefixes of a prompt that other prompts may share, shortest first.
@@ -77,6 +92,41 @@
         }
     }
 
+    /// Records the parts that a runner lists as cached.
+    pub fn note_listed(&mut self, runner: RunnerKey, parts: &[CachedPart], now: Millis) {
+        for part in parts {
+            let listed = ListedPart { runner, tokens: part.tokens, listed_at: now };
+            self.listed.entry(part_hash(&part.model, part.id)).or_default().push(listed);
+        }
+    }
+
+    /// Records those prefixes of a prompt that runners have by what they listed: a runner has a prefix if it has all its
+    /// parts whole. What is known from requests stays as it is.
+    pub fn adopt_listed(&mut self, prompt: &Prompt, now: Millis) {
+        if self.listed.is_empty() {
+            return;
+        }
+        let mut having: Option<Vec<ListedPart>> = None;
+        for (part, prefix) in prompt.shared().iter().zip(shared_prefixes(prompt)) {
+            let listed = self.listed.get(&part_hash(&prompt.model, part.id)).map_or(&[][..], Vec::as_slice);
+            let is_whole =
+                |holder: &&ListedPart| holder.tokens >= part.tokens && now.since(holder.listed_at) < EVICTED_AFTER;
+            let has_rest = |runner| having.as_ref().is_none_or(|all| all.iter().any(|other| other.runner == runner));
+            let whole: Vec<ListedPart> =
+                listed.iter().filter(is_whole).filter(|holder| has_rest(holder.runner)).copied().collect();
+            if whole.is_empty() {
+                return;
+            }
+            let holders = self.holders.entry(prefix.hash).or_default();
+            for ListedPart { runner, listed_at, .. } in &whole {
+                if holders.iter().all(|holder| holder.runner != *runner) {
+                    holders.push(Holder { runner: *runner, used_at: *listed_at, ready_at: *listed_at });
+                }
+            }
+            having = Some(whole);
+        }
+    }
+
     /// The tokens of the longest of `prefixes` that one runner has or is about to have; `prefixes` are shortest first.
     pub fn cached_tokens(&self, prefixes: &[Prefix], runner: RunnerKey, now: Millis) -> u32 {
         let has = |prefix: &&Prefix| self.live_holders(prefix.hash, now).any(|holder| holder.runner == runner);
@@ -110,11 +160,20 @@
     /// Removes a runner from all prefixes.
     pub fn forget(&mut self, runner: RunnerKey) {
         self.keep(|holder| holder.runner != runner);
+        self.keep_listed(|part| part.runner != runner);
     }
 
     /// Removes what runners have likely evicted.
     pub fn sweep(&mut self, now: Millis) {
         self.keep(|holder| now.since(holder.used_at) < EVICTED_AFTER);
+        self.keep_listed(|part| now.since(part.listed_at) < EVICTED_AFTER);
+    }
+
+    fn keep_listed(&mut self, is_kept: impl Fn(&ListedPart) -> bool) {
+        self.listed.retain(|_, parts| {
+            parts.retain(&is_kept);
+            !parts.is_empty()
+        });
     }
 
     fn keep(&mut self, is_kept: impl Fn(&Holder) -> bool) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod backoff;
 mod body_memory;
+mod cache_reader;
 mod caller;
 mod configuration;
 mod connection_pool;
@@ -49,7 +50,7 @@
 pub use discovery::{MissingRunners, NewsOutcome, RunnerIndex, split_news};
 pub use event::Event;
 pub use events_stream::{EventStream, MalformedEvent};
-pub use prompt::{Prompt, PromptPart};
+pub use prompt::{CachedPart, Prompt, PromptPart};
 pub use request_rate::{InvalidRate, RequestRate};
 pub use retry_limiter::RetryLimiter;
 pub use roster::{ReaderRole, Roster};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,7 +26,7 @@
 const LOAD_RECEIVERS: usize = 2;
 
 /// How long a daemon runs before it knows where the prefixes in use were sent; these recur about every seven seconds.
-const SETTLE_TIME: Millis = Millis(10_000);
+pub const SETTLE_TIME: Millis = Millis(10_000);
 
 /// How long to wait for further peers before those that do not know this daemon's phase are told it.
 const PHASE_DELAY: Millis = Millis(40);
@@ -196,7 +196,7 @@
 fn compose<D: Dialect>(gateway: &Gateway<D>, period: Millis, now: Millis) -> (Heartbeat, Vec<MemberRecord>) {
     let (member, members) = {
         let mut roster = gateway.roster();
-        roster.me.is_settled = now > SETTLE_TIME;
+        roster.me.is_settled |= now > SETTLE_TIME;
         (roster.me.clone(), roster.gossip(now).cloned().collect())
     };
     // One lock at a time: a guard inside the struct expression below would be held until its end.
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -143,6 +143,9 @@
 fn choose_here<D: Dialect>(gateway: &Gateway<D>, request: &PlacementRequest<'_>) -> Choice {
     let now = gateway.now();
     let mut fleet = gateway.fleet();
+    if let Some(prompt) = request.prompt {
+        fleet.adopt_listed_caches(prompt, now);
+    }
     let choice = fleet.choose(request, now);
     if let Choice::Placed(placement) = &choice {
         fleet.take_allowance(placement.key, now);
@@ -247,6 +250,9 @@
     };
     let now = gateway.now();
     let mut fleet = gateway.fleet();
+    if let Some(prompt) = prompt {
+        fleet.adopt_listed_caches(prompt, now);
+    }
     let placement = match fleet.choose(&request, now) {
         Choice::Placed(placement) => placement,
         Choice::Full => {
--- a/crates/gateway/src/prompt.rs
+++ b/crates/gateway/src/prompt.rs
@@ -9,6 +9,17 @@
     pub tokens: u32,
 }
 
+/// A prompt part that a runner lists as cached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CachedPart {
+    /// The model for which it is cached.
+    pub model: String,
+    /// Identifies the part's text, as in [`PromptPart`].
+    pub id: u64,
+    /// The tokens that are cached now; less than the part's length if some were evicted.
+    pub tokens: u32,
+}
+
 /// The prompt of a request, as far as placement needs it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Prompt {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -293,6 +293,21 @@
         self.leader_candidates(now).first().copied().unwrap_or(&self.me)
     }
 
+    /// Whether this daemon will lead placement once it is ready, without knowing what earlier daemons placed: it has read
+    /// the list of daemons, no peer is settled, and none of those that may still be starting comes before it.
+    pub fn is_unsettled_leader(&self, now: Millis) -> bool {
+        let rank = |member: &MemberRecord| (member.cpu_milli, member.name.clone());
+        let own = rank(&self.me);
+        self.is_listed
+            && !self.me.is_settled
+            && self.me.phase() != Phase::Leaving
+            && self
+                .peers
+                .values()
+                .filter(|peer| peer.is_present(now))
+                .all(|peer| !peer.record.is_settled && rank(&peer.record) < own)
+    }
+
     /// The number of peers that address answers name although no peer is heard; 0 if some peer is.
     pub fn unheard_addresses(&self, now: Millis) -> usize {
         if self.live_count(now) > 0 { 0 } else { self.named_peers(now).count() }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -7,7 +7,7 @@
 use teaselcroft_gateway::fleet::{Choice, Fleet, Placement, PlacementRequest, runner_hash};
 use teaselcroft_gateway::heartbeat::RunnerLoad;
 use teaselcroft_gateway::store::Revision;
-use teaselcroft_gateway::{Priority, Prompt, PromptPart, RunnerRecord};
+use teaselcroft_gateway::{CachedPart, Priority, Prompt, PromptPart, RunnerRecord};
 use teaselcroft_parts::{Millis, ModelName, RunnerName, ZoneName};
 
 const INTERACTIVE_PAUSE: Option<Millis> = Some(Millis(250));
@@ -366,3 +366,49 @@
     assert_eq!(soon.fetch_from, None);
     assert_eq!((later.fetch_from, later.prefill_tokens), (Some(holder.record.address), 2_000));
 }
+
+fn cached(id: u64, tokens: u32) -> CachedPart {
+    CachedPart { model: "m".into(), id, tokens }
+}
+
+/// All daemons lost power, the runners did not: without their lists each shared part would be prefilled once more.
+#[test]
+fn prompts_go_to_the_runners_that_list_their_shared_parts() {
+    let (mut fleet, now) = (fleet(60), Millis(400));
+    let key = |fleet: &Fleet, number: u64| fleet.find(&format!("i-{number}").parse().unwrap()).unwrap().0;
+    for number in 0..60 {
+        let key = key(&fleet, number);
+        fleet.note_listed_caches(key, &[cached(number, 13_300), cached(number ^ 0xffff_0000, 3_720)], now);
+    }
+
+    let mut reads = 0;
+    for number in 0..60 {
+        let prompt = prompt(number, 13_300, 3_000);
+        fleet.adopt_listed_caches(&prompt, now);
+        reads += send(&mut fleet, &prompt, PATIENT_PAUSE, now).prefill_tokens;
+    }
+
+    assert_eq!(reads, 60 * 3_000, "nothing but each prompt's own part is prefilled");
+}
+
+#[test]
+fn a_listed_part_counts_only_whole_for_its_model_behind_the_parts_before_it_and_for_a_while() {
+    let now = Millis(400);
+    let parts =
+        vec![PromptPart { id: 1, tokens: 500 }, PromptPart { id: 2, tokens: 8_000 }, PromptPart { id: 3, tokens: 100 }];
+    let prompt = Prompt { model: "m".into(), input_tokens: 8_600, output_tokens: 10, parts };
+    let reads = |listed: &[CachedPart], at: Millis| {
+        let mut fleet = fleet(1);
+        let key = fleet.find(&"i-0".parse().unwrap()).unwrap().0;
+        fleet.note_listed_caches(key, listed, now);
+        fleet.adopt_listed_caches(&prompt, at);
+        choose(&fleet, &prompt, PATIENT_PAUSE, at).unwrap().prefill_tokens
+    };
+
+    assert_eq!(reads(&[cached(1, 500), cached(2, 8_000)], now), 100);
+    assert_eq!(reads(&[cached(1, 500), cached(2, 7_999)], now), 8_100, "partly evicted");
+    assert_eq!(reads(&[cached(2, 8_000)], now), 8_600, "the part before it is missing");
+    let other = CachedPart { model: "n".into(), ..cached(1, 500) };
+    assert_eq!(reads(&[other, cached(2, 8_000)], now), 8_600, "for another model");
+    assert_eq!(reads(&[cached(1, 500), cached(2, 8_000)], Millis(60_000)), 8_600, "likely evicted by now");
+}
--- a/crates/gateway/tests/leaders.rs
+++ b/crates/gateway/tests/leaders.rs
@@ -150,3 +150,27 @@
     assert_eq!((while_starting.len(), ready.len(), again.len()), (0, 1, 0));
     assert_eq!((restarted, leaving), (both.clone(), both));
 }
+
+/// One daemon reads what all runners have cached; it must not be many.
+#[test]
+fn only_the_first_candidate_of_a_fleet_without_a_settled_daemon_reads_caches() {
+    let now = Millis(100);
+    let roster = |index: usize| {
+        let mut roster = Roster::new(record(index, 2));
+        (0..45).for_each(|other| {
+            roster.learn(record(other, 1), true, now);
+        });
+        roster.set_registered(&[]);
+        roster
+    };
+
+    let readers: Vec<usize> = (0..45).filter(|index| roster(*index).is_unsettled_leader(now)).collect();
+    let mut with_settled = roster(40);
+    with_settled.heard(MemberRecord { is_settled: true, ..record(3, 2) }, now);
+    let mut without_list = Roster::new(record(40, 2));
+    without_list.heard(record(3, 2), now);
+
+    assert_eq!(readers, [40], "the last name of those on the largest VMs");
+    assert!(!with_settled.is_unsettled_leader(now));
+    assert!(!without_list.is_unsettled_leader(now));
+}
