Keep loads and caches from heartbeats for as long as heartbeats are apart

Cause, found while reading for the power loss: heartbeats repeated for 0.8 s that a prefix was sent to a runner, and load counts of a peer were dropped after 2 s. With 295 daemons heartbeats are 2.95 s apart, so that the second placement candidate was told of a quarter of the caches, and both candidates forgot the loads of daemons whose counts had not changed for 2 s (long streams). In a fleet of 65 daemons (0.65 s) neither happened.

Change: both last at least twice the time between heartbeats. The test plays a fleet of 300: it fails before (nothing is told 2.9 s later) and passes now.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -34,8 +34,8 @@
     pub struct RunnerKey;
 }
 
-/// Load counts of a peer that are older than this are discarded.
-const PEER_LOADS_TTL: Millis = Millis(2_000);
+/// Load counts of a peer that are older than this are discarded, unless its heartbeats are further apart.
+const MIN_PEER_LOADS_TTL: Millis = Millis(2_000);
 
 /// How long a runner is avoided after its first refused connection; the time doubles with each further one.
 const MIN_AVOIDANCE: Millis = Millis(200);
@@ -43,8 +43,9 @@
 /// The longest time that a runner is avoided before it is tried again.
 const MAX_AVOIDANCE: Millis = Millis(1_600);
 
-/// How long heartbeats repeat that a prompt prefix was sent to a runner; several heartbeats, since datagrams get lost.
-const CACHE_NEWS_TTL: Millis = Millis(800);
+/// The shortest time for which heartbeats repeat that a prompt prefix was sent to a runner; several heartbeats, since
+/// datagrams get lost.
+const MIN_CACHE_NEWS_TTL: Millis = Millis(800);
 
 /// How long after a peer reported a prompt its prefill is assumed to be complete.
 const PEER_PREFILL_TIME: Millis = Millis(500);
@@ -240,9 +241,10 @@
         }
     }
 
-    /// The prompt prefixes that this daemon recently sent to runners, for its heartbeats.
-    pub fn recent_cache_news(&mut self, now: Millis) -> Vec<CacheNews> {
-        self.cache_news.retain(|(at, _)| now.since(*at) < CACHE_NEWS_TTL);
+    /// The prompt prefixes that this daemon recently sent to runners, for heartbeats that are `period` apart.
+    pub fn recent_cache_news(&mut self, period: Millis, now: Millis) -> Vec<CacheNews> {
+        let ttl = Millis(period.0 * 2).max(MIN_CACHE_NEWS_TTL);
+        self.cache_news.retain(|(at, _)| now.since(*at) < ttl);
         self.cache_news.iter().map(|(_, news)| *news).take(MAX_CACHE_NEWS).collect()
     }
 
@@ -311,9 +313,11 @@
         self.peers.entry(peer.to_owned()).or_default().grant(number, hash, load, now);
     }
 
-    /// Drops the load counts of peers that have not reported for too long, and forgets runners that left long ago.
-    pub fn sweep(&mut self, now: Millis) {
-        let is_expired = |loads: &PeerLoads| now.since(loads.heard()) > PEER_LOADS_TTL;
+    /// Drops the load counts of peers that have not reported for too long, and forgets runners that left long ago. Peers
+    /// report at least every `period`.
+    pub fn sweep(&mut self, period: Millis, now: Millis) {
+        let ttl = Millis(period.0 * 2).max(MIN_PEER_LOADS_TTL);
+        let is_expired = |loads: &PeerLoads| now.since(loads.heard()) > ttl;
         let expired: Vec<String> =
             self.peers.iter().filter(|(_, loads)| is_expired(loads)).map(|(peer, _)| peer.clone()).collect();
         expired.iter().for_each(|peer| self.drop_peer_loads(peer));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -72,7 +72,8 @@
             log_event!(Event::PeerLost, peer = name);
             gateway.fleet().drop_peer_loads(&name);
         }
-        gateway.fleet().sweep(now);
+        let period = gateway.roster().heartbeat_interval();
+        gateway.fleet().sweep(period, now);
         gateway.metrics.peers.set(i64::try_from(gateway.roster().live_count(now)).unwrap_or(i64::MAX));
         let named = gateway.roster().unheard_addresses(now);
         if named != std::mem::replace(&mut unheard, named) {
@@ -200,9 +201,10 @@
         (roster.me.clone(), roster.gossip(now).cloned().collect())
     };
     // One lock at a time: a guard inside the struct expression below would be held until its end.
+    let round = gateway.roster().heartbeat_interval();
     let (loads, caches, gone) = {
         let mut fleet = gateway.fleet();
-        (fleet.own_loads(now), fleet.recent_cache_news(now), fleet.recent_departures(period, now))
+        (fleet.own_loads(now), fleet.recent_cache_news(round, now), fleet.recent_departures(period, now))
     };
     let (limits, permits) = {
         let fleet = gateway.fleet();
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -412,3 +412,21 @@
     assert_eq!(reads(&[other, cached(2, 8_000)], now), 8_600, "for another model");
     assert_eq!(reads(&[cached(1, 500), cached(2, 8_000)], Millis(60_000)), 8_600, "likely evicted by now");
 }
+
+/// With 300 daemons heartbeats are 3 s apart, and the next placement leader knows caches and loads from them alone.
+#[test]
+fn caches_and_loads_in_heartbeats_last_until_the_next_heartbeat() {
+    let (mut sender, mut receiver) = (fleet(5), fleet(5));
+    let period = Millis(2_950);
+    let placement = send(&mut sender, &prompt(7, 13_300, 100), PATIENT_PAUSE, Millis(0));
+
+    let news = sender.recent_cache_news(period, Millis(2_900));
+    receiver.apply_peer_caches(&news, Millis(2_900));
+    receiver.set_peer_loads("entry-2", None, sender.own_loads(Millis(2_900)), Millis(2_900));
+    receiver.sweep(period, Millis(2_900) + period);
+
+    let next = choose(&receiver, &prompt(7, 13_300, 200), PATIENT_PAUSE, Millis(2_900) + period).unwrap();
+    assert_eq!((next.record.name.clone(), next.prefill_tokens), (placement.record.name.clone(), 200));
+    assert_eq!(next.load.requests, 1);
+    assert!(sender.recent_cache_news(Millis(120), Millis(5_000)).is_empty());
+}
