Choose ports of stand-in daemons below those of connections

Cause of the red entry `Address already in use`: the stand-ins chose a daemon's ports by binding port 0 and released them before the daemon bound them; connections of other tests take ports from the same range meanwhile.

Change: ports from 15,000 to 32,000, each once per process, beginning at another place in each process; the kernel gives none of these to connections.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use teaselcroft_parts::{DaemonName, NameError};
 
@@ -84,8 +85,25 @@
     (1..=count).map(|number| plan_daemon(site, number, store, vm_list, customers)).collect()
 }
 
+/// The ports that daemons get: below those that the kernel gives to connections, which would take a port between its choice
+/// and the daemon's start.
+const DAEMON_PORTS: std::ops::Range<u16> = 15_000..32_000;
+
+/// The number of ports tried so far; processes that run at the same time begin at different ones.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// The ports between the first ones of two processes with consecutive ids.
+const PORTS_PER_PROCESS: u32 = 40;
+
 fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    let count = u32::from(DAEMON_PORTS.end - DAEMON_PORTS.start);
+    let free = (0..count).find_map(|_| {
+        let offset = first.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % count;
+        let port = DAEMON_PORTS.start + u16::try_from(offset).ok()?;
+        TcpListener::bind(("127.0.0.1", port)).ok()?.local_addr().ok()
+    });
+    free.ok_or_else(|| io::Error::other("no port for a daemon is free; end other programs that listen"))
 }
 
 fn plan_daemon(
