Ask another peer for a configuration when the first one is slow

Cause, as far as traced: a newer configuration was fetched from the peer that announced it first, and all other announcements were ignored until that call ended, for up to a second. A configuration of 650 routes loads a small VM's link of 10 Mbit/s when several daemons of the zone fetch it there.

Change: after 300 ms without an answer, the next peer that announces the version is asked too, three at most.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod body_memory;
 mod cache_reader;
 mod caller;
+mod config_fetches;
 mod configuration;
 mod connection_pool;
 mod crash_sync;
@@ -42,6 +43,7 @@
 mod settings;
 pub mod store;
 
+pub use config_fetches::ConfigFetches;
 pub use configuration::{CallerLimits, ConfigVersion, Configuration, Customer, Engine, Priority, Service};
 pub use crash_sync::CrashSync;
 pub use crash_tracker::{CrashTracker, Suspect};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,6 @@
 //! Sends heartbeats to peers, handles their datagrams, and fetches newer configurations from them.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -16,7 +16,7 @@
 use crate::placer::answer_query;
 use crate::roster::{FAR_ROUNDS, peer_address};
 use crate::runner_news::RunnerNews;
-use crate::{ConfigVersion, Event, RequestRate, log_event};
+use crate::{ConfigFetches, ConfigVersion, Event, RequestRate, log_event};
 
 /// The delay after a failed receive before the next one.
 const RECEIVE_RETRY_DELAY: Millis = Millis(100);
@@ -238,7 +238,7 @@
     executor: Arc<smol::Executor<'static>>,
 ) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let fetching = Arc::new(Mutex::new(HashSet::new()));
+    let fetching = Arc::new(Mutex::new(ConfigFetches::default()));
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -271,7 +271,7 @@
     gateway: &Arc<Gateway<D>>,
     heartbeat: Heartbeat,
     executor: &smol::Executor<'static>,
-    fetching: &Arc<Mutex<HashSet<u64>>>,
+    fetching: &Arc<Mutex<ConfigFetches>>,
 ) {
     let now = gateway.now();
     let Some(member) = heartbeat.member else {
@@ -329,20 +329,20 @@
     log_event!(Event::RunnerLimited, runner = runner, limit = limit, source = source);
 }
 
-/// Starts to fetch a configuration from a peer after `delay` if it is newer and not being fetched already.
+/// Starts to fetch a configuration from a peer after `delay` if it is newer and no other peer is expected to send it soon.
 fn fetch_newer<D: Dialect>(
     gateway: &Arc<Gateway<D>>,
     source: SocketAddr,
     version: u64,
     delay: Millis,
     executor: &smol::Executor<'static>,
-    fetching: &Arc<Mutex<HashSet<u64>>>,
+    fetching: &Arc<Mutex<ConfigFetches>>,
 ) {
     if !is_newer(gateway, version) {
         return;
     }
-    let is_first = fetching.lock().unwrap_or_else(PoisonError::into_inner).insert(version);
-    if !is_first {
+    let is_due = fetching.lock().unwrap_or_else(PoisonError::into_inner).try_begin(version, gateway.now());
+    if !is_due {
         return;
     }
     log_event!(Event::ConfigAnnounced, version = version, source = source, delay = delay);
@@ -350,7 +350,7 @@
     let fetch_task = async move {
         Timer::after(delay.into()).await;
         fetch(&gateway, source, version).await;
-        fetching.lock().unwrap_or_else(PoisonError::into_inner).remove(&version);
+        fetching.lock().unwrap_or_else(PoisonError::into_inner).end(version);
     };
     executor.spawn(fetch_task).detach();
 }
--- /dev/null
+++ b/crates/gateway/tests/config_fetches.rs
@@ -0,0 +1,67 @@
+//! Fetching a newer configuration from peers, some of which do not answer, on a virtual clock.
+
+use teaselcroft_gateway::ConfigFetches;
+use teaselcroft_parts::Millis;
+
+/// The timeout of one fetch.
+const FETCH_TIMEOUT: Millis = Millis(1_000);
+
+/// The time that a peer that is not choked takes.
+const ANSWER_TIME: Millis = Millis(100);
+
+/// The time between heartbeats of any peer: 90 daemons, each of which sends one in 2 s.
+const HEARTBEAT_GAP: Millis = Millis(20);
+
+const VERSION: u64 = 118;
+
+/// When a daemon has the version that peers announce, if the first `choked` peers that it asks do not answer, and the
+/// most peers that it asked at once.
+fn fetch(choked: usize) -> (Millis, usize) {
+    let mut fetches = ConfigFetches::default();
+    let mut ends: Vec<(Millis, bool)> = Vec::new();
+    let (mut asked, mut most) = (0, 0);
+    let mut now = Millis(0);
+    loop {
+        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now);
+        ends = running;
+        for (_, is_answer) in ended {
+            if is_answer {
+                return (now, most);
+            }
+            fetches.end(VERSION);
+        }
+        if fetches.try_begin(VERSION, now) {
+            asked += 1;
+            let is_answer = asked > choked;
+            ends.push((now + if is_answer { ANSWER_TIME } else { FETCH_TIMEOUT }, is_answer));
+            most = most.max(ends.len());
+        }
+        now = now + HEARTBEAT_GAP;
+    }
+}
+
+/// A configuration with 600 routes more goes to 90 daemons at once; the small VMs that announce it first are choked.
+#[test]
+fn peers_that_do_not_answer_delay_a_configuration_by_less_than_a_second_each_two() {
+    let bound = Millis(1_000);
+
+    assert_eq!(fetch(0), (ANSWER_TIME, 1), "one peer is asked if it answers");
+    for choked in 1..=2 {
+        let (took, most) = fetch(choked);
+        assert!(took <= bound && most <= 3, "{choked} choked: {took}, {most} at once");
+    }
+    // The users' bound on a configuration in a fleet of 90 is 3 s from its acknowledgement.
+    let (took, most) = fetch(5);
+    assert!(took < Millis(2_500) && most <= 3, "{took}, {most} at once");
+}
+
+#[test]
+fn each_version_is_fetched_by_itself_and_again_after_a_failure() {
+    let mut fetches = ConfigFetches::default();
+
+    assert!(fetches.try_begin(1, Millis(0)));
+    assert!(!fetches.try_begin(1, Millis(10)));
+    assert!(fetches.try_begin(2, Millis(10)), "another version");
+    fetches.end(1);
+    assert!(fetches.try_begin(1, Millis(20)), "after a failure");
+}
