Take the runners from a peer while the store is away, in small zones too

Cause: a daemon takes its configuration from any peer and so becomes ready, but in a zone of fewer than five daemons it read the runners from the store alone; only listeners of larger zones ask peers.

Change: if the store does not send the list and none is known, up to two ready peers are asked before the next try. Callers may come at once, since peers give out the address of a ready daemon.

--- a/crates/gateway/src/discovery/runners.rs
+++ b/crates/gateway/src/discovery/runners.rs
@@ -34,6 +34,9 @@
 /// The timeout for fetching the list of runners from a peer.
 const LIST_TIMEOUT: Millis = Millis(1_000);
 
+/// The peers that a daemon asks for the list of runners after the store did not send it.
+const MAX_ASKED_PEERS: usize = 2;
+
 /// Listeners retry an unavailable store less often than readers do, by this factor.
 const LISTENER_RETRY_FACTOR: u64 = 3;
 
@@ -81,6 +84,11 @@
             }
         };
         if let Err(pause) = read {
+            if gateway.runner_index().revision().is_none() {
+                // Callers may come already: peers give out this daemon's address once it has a configuration.
+                let peers = gateway.peer_addresses(MAX_ASKED_PEERS);
+                runners.fetch_list_from(&peers).await;
+            }
             Timer::after(pause.into()).await;
         }
     }
@@ -174,26 +182,34 @@
     async fn fetch_list(&mut self) -> bool {
         let began = self.gateway.now();
         while self.gateway.now().since(began) < PEERS_TIMEOUT {
-            for reader in self.gateway.reader_addresses() {
-                let known = self.gateway.runner_index().revision();
-                let list = fetch(reader).await.filter(|list| Some(Revision(list.revision)) >= known);
-                if let Some(list) = list {
-                    let revision = Revision(list.revision);
-                    let list: Vec<RunnerChange> =
-                        list.changes.into_iter().filter_map(|change| change.try_into().ok()).collect();
-                    let changes = self.apply_list(&list, revision, "peer");
-                    self.apply_changes(changes);
-                    self.follower.after = Some(revision);
-                    // The peer may have lost the store itself, so changes that it missed are read at once.
-                    self.read_at = self.gateway.now();
-                    return true;
-                }
+            if self.fetch_list_from(&self.gateway.reader_addresses()).await {
+                return true;
             }
             Timer::after(PEERS_RETRY_DELAY.into()).await;
         }
         false
     }
 
+    /// Fetches the list of runners from the first of `peers` that has one; false if none sends it.
+    async fn fetch_list_from(&mut self, peers: &[SocketAddr]) -> bool {
+        for peer in peers {
+            let known = self.gateway.runner_index().revision();
+            let Some(list) = fetch(*peer).await.filter(|list| Some(Revision(list.revision)) >= known) else {
+                continue;
+            };
+            let revision = Revision(list.revision);
+            let list: Vec<RunnerChange> =
+                list.changes.into_iter().filter_map(|change| change.try_into().ok()).collect();
+            let changes = self.apply_list(&list, revision, "peer");
+            self.apply_changes(changes);
+            self.follower.after = Some(revision);
+            // The peer may have lost the store itself, so changes that it missed are read at once.
+            self.read_at = self.gateway.now();
+            return true;
+        }
+        false
+    }
+
     fn decode(&self, change: Change) -> Option<RunnerChange> {
         let name = change.key.strip_prefix(self.gateway.dialect.runner_prefix())?;
         let record = match change.value.map(|value| self.gateway.dialect.runner(name, &value)) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -243,6 +243,17 @@
         readers.into_iter().filter(|member| member.name != roster.me.name).filter_map(peer_address).collect()
     }
 
+    /// The peer addresses of up to `count` other daemons that are ready and heard, drawn at random.
+    pub fn peer_addresses(&self, count: usize) -> Vec<SocketAddr> {
+        let now = self.now();
+        let roster = self.roster();
+        let ready = roster.leader_candidates(now).into_iter().filter(|member| member.name != roster.me.name);
+        let mut addresses: Vec<SocketAddr> = ready.filter_map(peer_address).collect();
+        fastrand::shuffle(&mut addresses);
+        addresses.truncate(count);
+        addresses
+    }
+
     /// Locks the retry limiter.
     pub fn retries(&self) -> MutexGuard<'_, RetryLimiter> {
         lock(&self.retries)
