Admit patient requests up to a second of prefill pressure

Runners were granted 75,000 tokens each in the first second and 151,000 in two (medians), 2.8 s of prefill without a pause. Meanwhile their streams advance by one token for each chunk of 4,096 prompt tokens, 12 a second: the summaries ran at once (nothing before them when they were placed), took 3.1 to 4.1 s (median) and the longer ones were cut at 6 s. So they were not late in the queue, as was supposed, but slow once they ran.

Now 1 s for priority 1 and 0.5 s below, which keeps the order of the two.

--- a/crates/gateway/src/fleet/admission.rs
+++ b/crates/gateway/src/fleet/admission.rs
@@ -9,11 +9,12 @@
 /// retry.
 const MIN_SHEDDABLE_TARGET: Millis = Millis(1_000);
 
-/// The pressure up to which sheddable requests of priority 1 are admitted: a burst that takes this long to prefill.
-const MAX_PRESSURE_PRIORITY_1: Millis = Millis(3_000);
+/// The pressure up to which sheddable requests of priority 1 are admitted. In a burst of long prompts on cold caches a
+/// runner prefills without pause until the admitted pressure has drained, and requests beside them miss their targets.
+const MAX_PRESSURE_PRIORITY_1: Millis = Millis(1_000);
 
 /// The pressure up to which sheddable requests of lower priorities are admitted.
-const MAX_PRESSURE_LOWER: Millis = Millis(1_000);
+const MAX_PRESSURE_LOWER: Millis = Millis(500);
 
 /// The pressure up to which a request is admitted, or `None` if it is never shed: requests of the most urgent
 /// priority, and those whose caller waits for an immediate answer. A customer's priority applies to all its requests,
