Resume streams that stall while bytes of no event come

Cause: the wait for a silent runner began anew with each byte read. It now begins with each event, so that a resumable stream is given up after four of its longest pauses, 1.2 s at least, without one.

--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -12,11 +12,12 @@
 use crate::fleet::Placement;
 use crate::http::{BodyError, BodyLength, BodyReader, Connection, ResponseHead};
 
-/// A stream that may resume at another runner is given up after a silence of this many of its longest pauses, but
-/// not before `MIN_SILENCE_TIMEOUT`: a busy runner pauses for a while, but a dead connection stays silent for good.
+/// A stream that may resume at another runner is given up after so many of its longest pauses without an event, but not
+/// before `MIN_SILENCE_TIMEOUT`: a busy runner pauses for a while, but a dead connection stays silent for good, and a
+/// stalled runner may still send bytes that are no event.
 const SILENCE_PAUSES: u64 = 4;
 
-/// The shortest silence after which a stream resumes at another runner.
+/// The shortest time without an event after which a stream resumes at another runner.
 const MIN_SILENCE_TIMEOUT: Millis = Millis(1_200);
 
 /// A stream with this many events is being answered; a runner may crash as it begins to.
@@ -35,8 +36,10 @@
         let head = self.head.get_or_insert(head).clone();
         let mut reader = BodyReader::new(length);
         let mut chunk = Vec::new();
+        let mut event_at = self.gateway.now();
         loop {
-            match self.next_bytes(&mut reader, connection).await {
+            let count = self.events.count();
+            match self.next_bytes(&mut reader, connection, event_at).await {
                 Ok(true) => {}
                 Ok(false) => break,
                 Err(error) => {
@@ -63,6 +66,9 @@
                 return AttemptOutcome::CallerGone;
             }
             chunk.clear();
+            if self.events.count() > count {
+                event_at = self.gateway.now();
+            }
         }
         // Only the events say whether a body that ends with its connection is whole.
         let is_unframed = length == BodyLength::UntilClose;
@@ -82,12 +88,19 @@
         }
     }
 
-    async fn next_bytes(&mut self, reader: &mut BodyReader, connection: &mut Connection) -> Result<bool, BodyError> {
+    /// Reads more of the stream, whose last event came at `event_at`.
+    async fn next_bytes(
+        &mut self,
+        reader: &mut BodyReader,
+        connection: &mut Connection,
+        event_at: Millis,
+    ) -> Result<bool, BodyError> {
         let Some(silence) = self.silence_timeout() else {
             return reader.next(connection, self.events.input()).await;
         };
+        let remaining = Millis(silence.0.saturating_sub(self.gateway.now().since(event_at).0));
         or(reader.next(connection, self.events.input()), async {
-            Timer::after(silence.into()).await;
+            Timer::after(remaining.into()).await;
             Err(BodyError::Stalled)
         })
         .await
