Wait less for connections to peers that may have the list of runners

Callers: after a power loss a quarter of the daemons refused requests for most of a second ("no runner takes it").

Cause: a daemon that starts asks the readers of its zone for the runners, one after the other. VMs return over 0.4 s, and a connection to one that is not back hangs, also once it is back, until the timeout of 0.8 s.

These connections now time out after 150 ms.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -23,7 +23,7 @@
 use follow::{Follower, StoreUpdate, WATCH_TIMEOUT};
 pub use missing_runners::MissingRunners;
 pub use runner_index::{NewsOutcome, RunnerIndex, split_news};
-pub use runners::{drop_missing, follow_runners};
+pub use runners::{drop_missing, fetch_runners, follow_runners};
 pub use store_health::StoreHealth;
 pub use stored_crashes::store_crashes;
 use stored_crashes::{CRASH_PREFIX, learn_crashes};
--- a/crates/gateway/src/discovery/runners.rs
+++ b/crates/gateway/src/discovery/runners.rs
@@ -34,6 +34,10 @@
 /// The timeout for fetching the list of runners from a peer.
 const LIST_TIMEOUT: Millis = Millis(1_000);
 
+/// The timeout for connecting to a peer that may have the list of runners. After a power loss some peers are not back yet,
+/// and a connection to a VM without power is not established when the VM returns either.
+const LIST_CONNECT_TIMEOUT: Millis = Millis(150);
+
 /// The peers that a daemon asks for the list of runners after the store did not send it.
 const MAX_ASKED_PEERS: usize = 2;
 
@@ -192,22 +196,18 @@
 
     /// Fetches the list of runners from the first of `peers` that has one; false if none sends it.
     async fn fetch_list_from(&mut self, peers: &[SocketAddr]) -> bool {
-        for peer in peers {
-            let known = self.gateway.runner_index().revision();
-            let Some(list) = fetch(*peer).await.filter(|list| Some(Revision(list.revision)) >= known) else {
-                continue;
-            };
-            let revision = Revision(list.revision);
-            let list: Vec<RunnerChange> =
-                list.changes.into_iter().filter_map(|change| change.try_into().ok()).collect();
-            let changes = self.apply_list(&list, revision, "peer");
-            self.apply_changes(changes);
-            self.follower.after = Some(revision);
-            // The peer may have lost the store itself, so changes that it missed are read at once.
-            self.read_at = self.gateway.now();
-            return true;
-        }
-        false
+        let is_current = |list: &RunnerNews| Some(Revision(list.revision)) >= self.gateway.runner_index().revision();
+        let Some(list) = fetch_runners(peers, is_current).await else {
+            return false;
+        };
+        let revision = Revision(list.revision);
+        let list: Vec<RunnerChange> = list.changes.into_iter().filter_map(|change| change.try_into().ok()).collect();
+        let changes = self.apply_list(&list, revision, "peer");
+        self.apply_changes(changes);
+        self.follower.after = Some(revision);
+        // The peer may have lost the store itself, so changes that it missed are read at once.
+        self.read_at = self.gateway.now();
+        true
     }
 
     fn decode(&self, change: Change) -> Option<RunnerChange> {
@@ -288,8 +288,20 @@
     }
 }
 
-async fn fetch(reader: SocketAddr) -> Option<RunnerNews> {
-    let reply = HttpClient::new(reader).call("GET", RUNNERS_PATH, &[], LIST_TIMEOUT).await.ok()?;
+/// Fetches the list of runners from the first of `peers` that sends one which `is_current`.
+pub async fn fetch_runners(peers: &[SocketAddr], is_current: impl Fn(&RunnerNews) -> bool) -> Option<RunnerNews> {
+    for peer in peers {
+        let list = fetch(*peer).await.filter(&is_current);
+        if list.is_some() {
+            return list;
+        }
+    }
+    None
+}
+
+async fn fetch(peer: SocketAddr) -> Option<RunnerNews> {
+    let client = HttpClient::with_connect_timeout(peer, LIST_CONNECT_TIMEOUT);
+    let reply = client.call("GET", RUNNERS_PATH, &[], LIST_TIMEOUT).await.ok()?;
     RunnerNews::decode(&*reply.body).ok().filter(|_| reply.status == 200)
 }
 
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -16,7 +16,7 @@
 /// The largest body of an answer: several of the store's largest values, encoded.
 const MAX_BODY_BYTES: usize = 24 << 20;
 
-/// How long connecting may take.
+/// How long connecting may take, unless the caller sets another limit.
 const CONNECT_TIMEOUT: Millis = Millis(800);
 
 /// The most idle connections that one client keeps.
@@ -47,13 +47,19 @@
 #[derive(Debug)]
 pub struct HttpClient {
     address: SocketAddr,
+    connect_timeout: Millis,
     idle: Mutex<Vec<Connection>>,
 }
 
 impl HttpClient {
     /// A client of the server at `address`; it connects on the first call.
     pub fn new(address: SocketAddr) -> HttpClient {
-        HttpClient { address, idle: Mutex::default() }
+        HttpClient::with_connect_timeout(address, CONNECT_TIMEOUT)
+    }
+
+    /// A client of the server at `address` that waits for a connection up to `connect_timeout`.
+    pub fn with_connect_timeout(address: SocketAddr, connect_timeout: Millis) -> HttpClient {
+        HttpClient { address, connect_timeout, idle: Mutex::default() }
     }
 
     /// Sends a request and waits up to `timeout` for the complete answer. A body is sent as JSON. After a failure the next
@@ -111,7 +117,7 @@
         loop {
             let idle = self.idle().pop();
             let Some(mut connection) = idle else {
-                return connect(self.address, CONNECT_TIMEOUT, PathTimeout::CONTROL).await;
+                return connect(self.address, self.connect_timeout, PathTimeout::CONTROL).await;
             };
             if connection.is_reusable() {
                 return Ok(connection);
