Let requests wait for the first list of runners

Cause: a daemon serves once it knows the configuration, and its callers hold its address from before the restart. The list of runners comes 0.04 to 0.4 s later. Requests now wait for it for up to a second, after which they are refused as before.

--- a/crates/gateway/src/discovery/runners.rs
+++ b/crates/gateway/src/discovery/runners.rs
@@ -236,6 +236,7 @@
                 self.gateway.fleet().upsert(record, change.revision);
             }
         }
+        self.gateway.set_has_runners();
         let (known, ready) = self.gateway.fleet().counts();
         log_event!(Event::RunnersListed, runners = known, ready = ready, revision = revision, source = source);
         Vec::new()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use std::iter;
 use std::time::Duration;
 
+use async_io::Timer;
 use teaselcroft_parts::Millis;
 
 use crate::caller::{Caller, CallerGone};
@@ -32,6 +33,10 @@
 /// A retry needs more time than this before the deadline; with less it would only waste a runner's work.
 const MIN_RETRY_TIME: Millis = Millis(40);
 
+/// How long requests that reach a daemon as it starts wait for the first list of runners, and how often they check.
+const LIST_WAIT: Millis = Millis(1_000);
+const LIST_POLL_INTERVAL: Millis = Millis(15);
+
 /// Mean `Retry-After` while no runner is available; jitter keeps callers from returning all at once.
 const RETRY_AFTER_UNREACHABLE: Duration = Duration::from_millis(400);
 
@@ -119,6 +124,7 @@
             return self.refuse("it crashed runners", RETRY_AFTER_CRASHES).await;
         }
         self.gateway.retries().count_request(&self.job.service, self.gateway.now());
+        self.wait_for_runners().await;
         loop {
             let placement = match place(self.gateway, &self.job.placement_request()).await {
                 Choice::Placed(placement) => placement,
@@ -137,6 +143,14 @@
         }
     }
 
+    /// Waits until this daemon has a list of runners, for up to `LIST_WAIT`.
+    async fn wait_for_runners(&self) {
+        let began = self.gateway.now();
+        while !self.gateway.has_runners() && self.gateway.now().since(began) < LIST_WAIT {
+            Timer::after(LIST_POLL_INTERVAL.into()).await;
+        }
+    }
+
     /// Handles the outcome of one attempt: the request's ending, or `None` if another runner is tried.
     async fn handle_outcome(&mut self, outcome: AttemptOutcome, placement: &Placement) -> Option<Ending> {
         if !matches!(outcome, AttemptOutcome::Complete | AttemptOutcome::CallerGone) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,6 +47,7 @@
     runner_index: Mutex<RunnerIndex>,
     has_active_reader: AtomicBool,
     has_reader_role: AtomicBool,
+    has_runners: AtomicBool,
     heartbeat_sender: Sender<()>,
     heartbeat_requests: Receiver<()>,
     phase_sender: Sender<()>,
@@ -119,6 +120,7 @@
             runner_index: Mutex::default(),
             has_active_reader: AtomicBool::new(false),
             has_reader_role: AtomicBool::new(false),
+            has_runners: AtomicBool::new(false),
             heartbeat_sender,
             heartbeat_requests,
             phase_sender,
@@ -216,6 +218,16 @@
         self.has_reader_role.load(Ordering::Relaxed)
     }
 
+    /// Records that the fleet contains a first list of runners.
+    pub fn set_has_runners(&self) {
+        self.has_runners.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the fleet contains a first list of runners, which may be empty.
+    pub fn has_runners(&self) -> bool {
+        self.has_runners.load(Ordering::Relaxed)
+    }
+
     /// Queues runner changes that a peer relayed; if the queue is full they are dropped, which the revisions of
     /// later changes reveal as a gap.
     pub fn queue_runner_changes(&self, changes: RunnerNews) {
