Show that an entry with an unknown service ends every caller's task

review/1: another writer's entry over that of a runner that has left, with a service that no configuration names, then its removal.

--- /dev/null
+++ b/review/standins/src/runner.rs
@@ -0,0 +1,179 @@
+//! A stand-in for a runner: registers in the store, answers requests and notes which it ran.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crate::http::{Request, read_request, send};
+use crate::record::Record;
+use crate::store::Store;
+
+/// The time between a runner's writes to its entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// How a runner answers one request; returns whether the connection stays open.
+pub type Behavior = Arc<dyn Fn(&Runner, &Request, &mut TcpStream) -> bool + Send + Sync>;
+
+/// A request that a runner began to work on.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub id: String,
+    pub runner: String,
+    pub at: Duration,
+}
+
+/// A stand-in for a runner.
+#[derive(Clone)]
+pub struct Runner {
+    pub name: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub born: u64,
+    slots: u32,
+    store: Store,
+    record: Record,
+    runs: Arc<Mutex<Vec<Run>>>,
+    is_leaving: Arc<AtomicBool>,
+    has_left: Arc<AtomicBool>,
+    is_silent: Arc<AtomicBool>,
+    sequence: Arc<AtomicU64>,
+}
+
+impl Runner {
+    pub fn start(ip: &str, name: &str, service: &str, shared: (&Store, &Record, &Arc<Mutex<Vec<Run>>>), behavior: Behavior) -> std::io::Result<Runner> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis());
+        let runner = Runner {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            address: listener.local_addr()?,
+            born: u64::try_from(now).unwrap_or(0),
+            slots: 16,
+            store: shared.0.clone(),
+            record: shared.1.clone(),
+            runs: shared.2.clone(),
+            is_leaving: Arc::default(),
+            has_left: Arc::default(),
+            is_silent: Arc::default(),
+            sequence: Arc::default(),
+        };
+        let server = runner.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if server.has_left.load(Ordering::SeqCst) {
+                    return;
+                }
+                let (server, behavior) = (server.clone(), behavior.clone());
+                thread::spawn(move || server.serve(stream, &behavior));
+            }
+        });
+        runner.write_entry();
+        let writer = runner.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(HEARTBEAT);
+                if writer.has_left.load(Ordering::SeqCst) || writer.is_silent.load(Ordering::SeqCst) {
+                    return;
+                }
+                writer.write_entry();
+            }
+        });
+        Ok(runner)
+    }
+
+    /// The runner's entry, with another service's name in it if one is given.
+    pub fn entry(&self, service: &str) -> String {
+        let state = if self.is_leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"fayon\",\"version\":\"v1\",\"slots\":{},\
+             \"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.address, self.slots, self.born
+        )
+    }
+
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.name)
+    }
+
+    fn write_entry(&self) {
+        self.store.put(&self.key(), &self.entry(&self.service));
+    }
+
+    /// Reports that the runner is about to leave.
+    pub fn drain(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+        self.write_entry();
+        self.record.note(format!("runner {} reports draining", self.name));
+    }
+
+    /// Ends the runner: it accepts no further connections and writes no further entries.
+    pub fn exit(&self) {
+        self.has_left.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts connections, which then closes the listener.
+        let _woken = TcpStream::connect(self.address);
+        self.record.note(format!("runner {} exits", self.name));
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::SeqCst)
+    }
+
+    /// Notes that a request began to run.
+    pub fn note_run(&self, request: &Request) {
+        let id = request.header("x-request-id").unwrap_or("").to_owned();
+        self.record.note(format!("run {id} by {} ({} {})", self.name, request.method, request.target));
+        let run = Run { id, runner: self.name.clone(), at: self.record.now() };
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+    }
+
+    fn serve(&self, mut stream: TcpStream, behavior: &Behavior) {
+        let mut buffer = Vec::new();
+        while let Some(request) = read_request(&mut stream, &mut buffer) {
+            if self.has_left.load(Ordering::SeqCst) {
+                return;
+            }
+            match request.path() {
+                "/-/kv-list" => {
+                    let body = "{\"epoch\":1,\"next_token\":1,\"held\":[]}";
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                    send(&mut stream, (head + body).as_bytes());
+                }
+                _ if request.header("x-expect-instance").is_some_and(|name| name != self.name) => {
+                    let id = request.header("x-request-id").unwrap_or("");
+                    let answer = format!(
+                        "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {id}\r\nX-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                        self.name
+                    );
+                    send(&mut stream, answer.as_bytes());
+                }
+                _ => {
+                    if !behavior(self, &request, &mut stream) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The head of a runner's own answer; `fields` are whole lines.
+pub fn head(request: &Request, status: &str, fields: &str) -> String {
+    let id = request.header("x-request-id").unwrap_or("");
+    format!("HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Response-Stamp: stamp.{id}\r\n{fields}\r\n")
+}
+
+/// Runs a request for `work` and answers it with a body that names it.
+pub fn plain(work: Duration) -> Behavior {
+    Arc::new(move |runner, request, stream| {
+        runner.note_run(request);
+        thread::sleep(work);
+        let body = format!("answer to {}", request.header("x-request-id").unwrap_or(""));
+        let leaving = if runner.is_leaving() { "Server-Leaving: 1\r\n" } else { "" };
+        let fields = format!("{leaving}Content-Length: {}\r\n", body.len());
+        send(stream, (head(request, "200 OK", &fields) + &body).as_bytes());
+        true
+    })
+}
