--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod cell;
 mod http;
+mod missing_field;
 mod odd_service;
 mod record;
 mod runner;
@@ -25,6 +26,7 @@
     let cell = Cell::create(record, Path::new(program))?;
     let held = match name.as_str() {
         "odd-service" => odd_service::run(&cell, is_troubled)?,
+        "missing-field" => missing_field::run(&cell, is_troubled)?,
         _ => return Err(CannotRun(format!("unknown case {name}"))),
     };
     cell.record.note(if held { "the rule held" } else { "the rule was broken" });
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -39,6 +39,7 @@
     has_left: Arc<AtomicBool>,
     is_silent: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
+    written: Arc<Mutex<Duration>>,
 }
 
 impl Runner {
@@ -58,6 +59,7 @@
             has_left: Arc::default(),
             is_silent: Arc::default(),
             sequence: Arc::default(),
+            written: Arc::default(),
         };
         let server = runner.clone();
         thread::spawn(move || {
@@ -94,11 +96,18 @@
         )
     }
 
+    /// The time since the runner last wrote its entry.
+    pub fn since_write(&self) -> Duration {
+        let at = *self.written.lock().unwrap_or_else(PoisonError::into_inner);
+        self.record.now().saturating_sub(at)
+    }
+
     pub fn key(&self) -> String {
         format!("servers/{}", self.name)
     }
 
     fn write_entry(&self) {
+        *self.written.lock().unwrap_or_else(PoisonError::into_inner) = self.record.now();
         self.store.put(&self.key(), &self.entry(&self.service));
     }
 
@@ -117,6 +126,10 @@
         self.record.note(format!("runner {} exits", self.name));
     }
 
+    pub fn has_left(&self) -> bool {
+        self.has_left.load(Ordering::SeqCst)
+    }
+
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::SeqCst)
     }
@@ -170,6 +183,9 @@
     Arc::new(move |runner, request, stream| {
         runner.note_run(request);
         thread::sleep(work);
+        if runner.has_left() {
+            return false;
+        }
         let body = format!("answer to {}", request.header("x-request-id").unwrap_or(""));
         let leaving = if runner.is_leaving() { "Server-Leaving: 1\r\n" } else { "" };
         let fields = format!("{leaving}Content-Length: {}\r\n", body.len());
