--- a/review/standins/src/cell.rs
+++ b/review/standins/src/cell.rs
@@ -16,6 +16,9 @@
 /// The longest wait for a daemon to become ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The engine of services that generate text.
+const ENGINE: &str = ",\"engine\":{\"slots\":64,\"kv_capacity_tokens\":485157}";
+
 /// The case could not run, for the stated reason.
 #[derive(Debug)]
 pub struct CannotRun(pub String);
@@ -194,7 +197,7 @@
 pub fn configuration(version: u64, routes: &[String], services: &[&str]) -> String {
     let services: Vec<String> = services
         .iter()
-        .map(|name| format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":110}}"))
+        .map(|name| format!("{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":370{}}}", if name.starts_with("asistente") { ENGINE } else { "" }))
         .collect();
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod caller;
 mod cell;
+mod crashing_part;
 mod http;
 mod missing_field;
 mod odd_service;
@@ -25,6 +26,7 @@
     record.note(format!("case {name}, with the disruption: {is_troubled}"));
     let cell = Cell::create(record, Path::new(program))?;
     let held = match name.as_str() {
+        "crashing-part" => crashing_part::run(&cell, is_troubled)?,
         "odd-service" => odd_service::run(&cell, is_troubled)?,
         "missing-field" => missing_field::run(&cell, is_troubled)?,
         _ => return Err(CannotRun(format!("unknown case {name}"))),
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -1,6 +1,6 @@
 //! A stand-in for a runner: registers in the store, answers requests and notes which it ran.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -30,14 +30,15 @@
     pub name: String,
     pub service: String,
     pub address: SocketAddr,
-    pub born: u64,
+    born: Arc<AtomicU64>,
     slots: u32,
     store: Store,
     record: Record,
     runs: Arc<Mutex<Vec<Run>>>,
     is_leaving: Arc<AtomicBool>,
     has_left: Arc<AtomicBool>,
-    is_silent: Arc<AtomicBool>,
+    is_down: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
     sequence: Arc<AtomicU64>,
     written: Arc<Mutex<Duration>>,
 }
@@ -45,46 +46,96 @@
 impl Runner {
     pub fn start(ip: &str, name: &str, service: &str, shared: (&Store, &Record, &Arc<Mutex<Vec<Run>>>), behavior: Behavior) -> std::io::Result<Runner> {
         let listener = TcpListener::bind((ip, 0))?;
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis());
         let runner = Runner {
             name: name.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr()?,
-            born: u64::try_from(now).unwrap_or(0),
+            born: Arc::new(AtomicU64::new(unix_ms())),
             slots: 16,
             store: shared.0.clone(),
             record: shared.1.clone(),
             runs: shared.2.clone(),
             is_leaving: Arc::default(),
             has_left: Arc::default(),
-            is_silent: Arc::default(),
+            is_down: Arc::default(),
+            streams: Arc::default(),
             sequence: Arc::default(),
             written: Arc::default(),
         };
         let server = runner.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if server.has_left.load(Ordering::SeqCst) {
-                    return;
-                }
-                let (server, behavior) = (server.clone(), behavior.clone());
-                thread::spawn(move || server.serve(stream, &behavior));
-            }
-        });
+        thread::spawn(move || server.accept(listener, &behavior));
         runner.write_entry();
         let writer = runner.clone();
         thread::spawn(move || {
             loop {
                 thread::sleep(HEARTBEAT);
-                if writer.has_left.load(Ordering::SeqCst) || writer.is_silent.load(Ordering::SeqCst) {
+                if writer.has_left() {
                     return;
                 }
-                writer.write_entry();
+                if !writer.is_down() {
+                    writer.write_entry();
+                }
             }
         });
         Ok(runner)
     }
 
+    /// Accepts connections until the runner exits; while it is down nothing listens at its address.
+    fn accept(&self, listener: TcpListener, behavior: &Behavior) {
+        let mut listener = Some(listener);
+        loop {
+            if self.is_down() || self.has_left() {
+                listener = None;
+                for stream in self.streams.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+                    // The other side may have closed it already.
+                    let _closed = stream.shutdown(Shutdown::Both);
+                }
+            }
+            if self.has_left() {
+                return;
+            }
+            if !self.is_down() && listener.is_none() {
+                listener = TcpListener::bind(self.address).ok();
+            }
+            let accepted = listener.as_ref().and_then(|listener| {
+                listener.set_nonblocking(true).ok()?;
+                listener.accept().ok()
+            });
+            let Some((stream, _)) = accepted else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            if stream.set_nonblocking(false).is_err() {
+                continue;
+            }
+            if let Ok(clone) = stream.try_clone() {
+                self.streams.lock().unwrap_or_else(PoisonError::into_inner).push(clone);
+            }
+            let (server, behavior) = (self.clone(), behavior.clone());
+            thread::spawn(move || server.serve(stream, &behavior));
+        }
+    }
+
+    /// Ends the runner at once, as a crash does; it starts again after `down`, under its name.
+    pub fn crash(&self, down: Duration) {
+        if self.is_down.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.record.note(format!("runner {} crashes", self.name));
+        let runner = self.clone();
+        thread::spawn(move || {
+            thread::sleep(down);
+            runner.born.store(unix_ms(), Ordering::SeqCst);
+            runner.is_down.store(false, Ordering::SeqCst);
+            runner.record.note(format!("runner {} is back", runner.name));
+            runner.write_entry();
+        });
+    }
+
+    fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::SeqCst)
+    }
+
     /// The runner's entry, with another service's name in it if one is given.
     pub fn entry(&self, service: &str) -> String {
         let state = if self.is_leaving.load(Ordering::SeqCst) { "draining" } else { "ready" };
@@ -92,7 +143,9 @@
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"fayon\",\"version\":\"v1\",\"slots\":{},\
              \"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
-            self.address, self.slots, self.born
+            self.address,
+            self.slots,
+            self.born.load(Ordering::SeqCst)
         )
     }
 
@@ -121,8 +174,6 @@
     /// Ends the runner: it accepts no further connections and writes no further entries.
     pub fn exit(&self) {
         self.has_left.store(true, Ordering::SeqCst);
-        // Wakes the thread that accepts connections, which then closes the listener.
-        let _woken = TcpStream::connect(self.address);
         self.record.note(format!("runner {} exits", self.name));
     }
 
@@ -145,7 +196,7 @@
     fn serve(&self, mut stream: TcpStream, behavior: &Behavior) {
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer) {
-            if self.has_left.load(Ordering::SeqCst) {
+            if self.has_left() || self.is_down() {
                 return;
             }
             match request.path() {
@@ -172,6 +223,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis());
+    u64::try_from(now).unwrap_or(0)
+}
+
 /// The head of a runner's own answer; `fields` are whole lines.
 pub fn head(request: &Request, status: &str, fields: &str) -> String {
     let id = request.header("x-request-id").unwrap_or("");
