--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -9,6 +9,7 @@
 mod odd_service;
 mod record;
 mod runner;
+mod silent_connections;
 mod store;
 
 use std::path::Path;
@@ -27,6 +28,7 @@
     let cell = Cell::create(record, Path::new(program))?;
     let held = match name.as_str() {
         "crashing-part" => crashing_part::run(&cell, is_troubled)?,
+        "silent-connections" => silent_connections::run(&cell, is_troubled)?,
         "odd-service" => odd_service::run(&cell, is_troubled)?,
         "missing-field" => missing_field::run(&cell, is_troubled)?,
         _ => return Err(CannotRun(format!("unknown case {name}"))),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the platform's store: keys, watches, transactions and leases.
 
 use std::collections::{BTreeMap, HashMap};
+use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -25,6 +26,8 @@
     items: BTreeMap<String, Item>,
     /// Revision, key and watch event of each change.
     history: Vec<(u64, String, String)>,
+    /// How often all open connections went silent.
+    silenced: u64,
     /// Time to live and last renewal.
     leases: HashMap<u64, (Duration, Instant)>,
 }
@@ -118,11 +121,22 @@
         self.changed.notify_all();
     }
 
+    /// Nothing more comes back on the connections that are open now, and none of them is reset; new ones work.
+    pub fn silence_connections(&self) {
+        self.state().silenced += 1;
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
+        let silenced = self.state().silenced;
         while let Some(request) = read_request(&mut stream, &mut buffer) {
             self.expire_leases();
             let (status, body) = self.answer(&request);
+            if self.state().silenced != silenced {
+                // Reads on, until the other side closes.
+                while stream.read(&mut [0; 1024]).is_ok_and(|count| count > 0) {}
+                return;
+            }
             let answer = format!(
                 "HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                 body.len()
