--- a/review/standins/src/cell.rs
+++ b/review/standins/src/cell.rs
@@ -29,6 +29,21 @@
     }
 }
 
+/// The daemons that run now, by process id.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the daemons and the process when the case takes longer than `limit`.
+pub fn watch_time(limit: Duration) {
+    thread::spawn(move || {
+        thread::sleep(limit);
+        for id in RUNNING.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            let _killed = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        }
+        eprintln!("the case could not run: it took longer than {} s", limit.as_secs());
+        std::process::exit(2);
+    });
+}
+
 /// A running entry daemon; killed when dropped.
 pub struct Daemon {
     pub name: String,
@@ -42,6 +57,7 @@
         // The process may have ended already.
         let _killed = self.child.kill();
         let _ended = self.child.wait();
+        RUNNING.lock().unwrap_or_else(PoisonError::into_inner).retain(|id| *id != self.child.id());
     }
 }
 
@@ -126,6 +142,7 @@
             .stdout(log)
             .stderr(errors)
             .spawn()?;
+        RUNNING.lock().unwrap_or_else(PoisonError::into_inner).push(child.id());
         let at = |port: u16| SocketAddr::new(ip.parse().unwrap_or([127, 0, 0, 1].into()), port);
         self.record.note(format!("daemon entry-{number} started"));
         Ok(Daemon { name: format!("entry-{number}"), child, front: at(7101), ready: at(7102) })
--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -38,6 +38,7 @@
     is_leaving: Arc<AtomicBool>,
     has_left: Arc<AtomicBool>,
     is_down: Arc<AtomicBool>,
+    is_dark: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     sequence: Arc<AtomicU64>,
     written: Arc<Mutex<Duration>>,
@@ -64,6 +65,7 @@
             is_leaving: Arc::default(),
             has_left: Arc::default(),
             is_down: Arc::default(),
+            is_dark: Arc::default(),
             streams: Arc::default(),
             sequence: Arc::default(),
             written: Arc::default(),
@@ -92,15 +94,15 @@
         loop {
             if self.is_down() || self.has_left() {
                 listener = None;
-                for stream in self.streams.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
-                    // The other side may have closed it already.
-                    let _closed = stream.shutdown(Shutdown::Both);
-                }
+            }
+            if self.is_down() && !self.is_dark.load(Ordering::SeqCst) || self.has_left() {
+                self.close_streams();
             }
             if self.has_left() {
                 return;
             }
             if !self.is_down() && listener.is_none() {
+                self.close_streams();
                 listener = TcpListener::bind(self.address).ok();
             }
             let accepted = listener.as_ref().and_then(|listener| {
@@ -122,6 +124,13 @@
         }
     }
 
+    fn close_streams(&self) {
+        for stream in self.streams.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+            // The other side may have closed it already.
+            let _closed = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Ends the runner at once, as a crash does; it starts again after `down`, under its name.
     pub fn crash(&self, down: Duration) {
         if self.is_down.swap(true, Ordering::SeqCst) {
@@ -138,6 +147,12 @@
         });
     }
 
+    /// Ends the runner as `crash` does, but dark: its open connections stay silent until it starts again.
+    pub fn go_dark(&self, down: Duration) {
+        self.is_dark.store(true, Ordering::SeqCst);
+        self.crash(down);
+    }
+
     fn is_down(&self) -> bool {
         self.is_down.load(Ordering::SeqCst)
     }
