Log and count fetches of configurations from peers that fail

Change: event 632 states the peer, the reason and the time that the fetch took; metric config_fetches counts outcomes.

--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -45,6 +45,8 @@
     ConfigApplied = 630;
     /// A peer states a newer configuration than the active one; it is fetched unless the store delivers it first.
     ConfigAnnounced = 631;
+    /// A peer did not send the configuration that it announced; another one is asked with its next announcement.
+    ConfigNotFetched = 632;
     /// A runner registered, changed or registered again.
     RunnerSeen = 640;
     /// A runner is leaving or gone.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a fetch of a configuration from a peer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FetchLabels {
+    /// Whether the peer sent it: `done` or `failed`.
+    pub outcome: &'static str,
+}
+
 /// Labels of a call to the control API that failed.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RefusalLabels {
@@ -77,6 +84,8 @@
     pub seconds: Histogram,
     /// Calls to the store, by operation and result.
     pub store_calls: Family<StoreLabels, Counter>,
+    /// Fetches of newer configurations from peers, by outcome.
+    pub config_fetches: Family<FetchLabels, Counter>,
     /// The version of the active configuration.
     pub version: Gauge,
     /// Known runners that accept requests.
@@ -121,6 +130,7 @@
             first_seconds: buckets(),
             seconds: buckets(),
             store_calls: Family::default(),
+            config_fetches: Family::default(),
             version: Gauge::default(),
             runners: Gauge::default(),
             peers: Gauge::default(),
@@ -151,6 +161,7 @@
         registry.register("first_byte_seconds", "Time to the answer's first byte", self.first_seconds.clone());
         registry.register("request_seconds", "Time to the end", self.seconds.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register("config_fetches", "Fetches of configurations from peers", self.config_fetches.clone());
         registry.register("configuration_version", "The configuration in force", self.version.clone());
         registry.register("runners_ready", "Runners that take requests", self.runners.clone());
         registry.register("peers_live", "Peers that are ready and heard", self.peers.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,8 +1,10 @@
-//! Sends heartbeats to peers, handles their datagrams, and fetches newer configurations from them.
+//! Sends heartbeats to peers and handles their datagrams.
+
+mod fetch_configuration;
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr, UdpSocket};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use async_io::{Async, Timer};
 use futures_lite::future::or;
@@ -18,7 +20,8 @@
 use crate::placer::answer_query;
 use crate::roster::{FAR_ROUNDS, peer_address};
 use crate::runner_news::RunnerNews;
-use crate::{ConfigFetches, ConfigVersion, Event, RequestRate, log_event};
+use crate::{ConfigFetches, Event, RequestRate, log_event};
+use fetch_configuration::{STORE_DELAY, fetch_newer, is_newer};
 
 /// The delay after a failed receive before the next one.
 const RECEIVE_RETRY_DELAY: Millis = Millis(100);
@@ -39,12 +42,9 @@
 /// The largest datagram that is received whole, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// The timeout for fetching a peer's configuration.
+/// The timeout for fetching the crashes that a peer knows.
 const FETCH_TIMEOUT: Millis = Millis(1_000);
 
-/// How long to wait for the store to deliver a newer configuration before it is fetched from the peer that has it.
-const FETCH_DELAY: Millis = Millis(150);
-
 /// The path at which a daemon serves the list of runners to peers.
 pub const RUNNERS_PATH: &str = "/runners";
 
@@ -382,7 +382,7 @@
         gateway.config_check().note_peer(now.since(Millis(age.into())));
     }
     // The store may deliver it in the meantime.
-    let delay = gateway.configuration().map_or(Millis(0), |_| FETCH_DELAY);
+    let delay = gateway.configuration().map_or(Millis(0), |_| STORE_DELAY);
     fetch_newer(gateway, source, heartbeat.version, delay, executor, fetching);
 }
 
@@ -392,49 +392,6 @@
     log_event!(Event::RunnerLimited, runner = runner, limit = limit, source = source);
 }
 
-/// Starts to fetch a configuration from a peer after `delay` if it is newer and no other peer is expected to send it soon.
-fn fetch_newer<D: Dialect>(
-    gateway: &Arc<Gateway<D>>,
-    source: SocketAddr,
-    version: u64,
-    delay: Millis,
-    executor: &smol::Executor<'static>,
-    fetching: &Arc<Mutex<ConfigFetches>>,
-) {
-    if !is_newer(gateway, version) {
-        return;
-    }
-    let is_due = fetching.lock().unwrap_or_else(PoisonError::into_inner).try_begin(version, gateway.now());
-    if !is_due {
-        return;
-    }
-    log_event!(Event::ConfigAnnounced, version = version, source = source, delay = delay);
-    let (gateway, fetching) = (gateway.clone(), fetching.clone());
-    let fetch_task = async move {
-        Timer::after(delay.into()).await;
-        run_contained(&gateway, "configuration fetch", fetch(&gateway, source, version)).await;
-        fetching.lock().unwrap_or_else(PoisonError::into_inner).end(version);
-    };
-    executor.spawn(fetch_task).detach();
-}
-
-fn is_newer<D: Dialect>(gateway: &Gateway<D>, version: u64) -> bool {
-    let current = gateway.configuration().map(|configuration| configuration.version);
-    current.unwrap_or_default() < ConfigVersion(version)
-}
-
-/// Fetches a configuration from a peer unless it has arrived through the store.
-async fn fetch<D: Dialect>(gateway: &Gateway<D>, source: SocketAddr, version: u64) {
-    if !is_newer(gateway, version) {
-        return;
-    }
-    match HttpClient::new(source).call("GET", CONFIGURATION_PATH, &[], FETCH_TIMEOUT).await {
-        Ok(reply) if reply.status == 200 => gateway.apply_configuration(reply.body, &source.to_string()),
-        Ok(reply) => log::debug!("{source} answered {} instead of its configuration", reply.status),
-        Err(error) => log::debug!("{source} did not send its configuration: {error}"),
-    }
-}
-
 /// Fetches the crashes that a peer knows.
 async fn fetch_crashes<D: Dialect>(gateway: &Gateway<D>, peer: String, source: SocketAddr) {
     let reply = HttpClient::new(source).call("GET", CRASHES_PATH, &[], FETCH_TIMEOUT).await;
--- /dev/null
+++ b/crates/gateway/src/peers/fetch_configuration.rs
@@ -0,0 +1,76 @@
+//! Fetches newer configurations from the peers that announce them.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_io::Timer;
+use smol::Executor;
+use teaselcroft_parts::Millis;
+
+use super::CONFIGURATION_PATH;
+use crate::containment::run_contained;
+use crate::dialect::Dialect;
+use crate::gateway::Gateway;
+use crate::http_client::HttpClient;
+use crate::metrics::FetchLabels;
+use crate::{ConfigFetches, ConfigVersion, Event, log_event};
+
+/// How long to wait for the store to deliver a newer configuration before it is fetched from the peer that has it.
+pub const STORE_DELAY: Millis = Millis(150);
+
+/// The timeout of one fetch.
+const FETCH_TIMEOUT: Millis = Millis(1_000);
+
+/// Starts to fetch a configuration from a peer after `delay` if it is newer and no other peer is expected to send it soon.
+pub fn fetch_newer<D: Dialect>(
+    gateway: &Arc<Gateway<D>>,
+    source: SocketAddr,
+    version: u64,
+    delay: Millis,
+    executor: &Executor<'static>,
+    fetching: &Arc<Mutex<ConfigFetches>>,
+) {
+    if !is_newer(gateway, version) {
+        return;
+    }
+    let is_due = fetching.lock().unwrap_or_else(PoisonError::into_inner).try_begin(version, gateway.now());
+    if !is_due {
+        return;
+    }
+    log_event!(Event::ConfigAnnounced, version = version, source = source, delay = delay);
+    let (gateway, fetching) = (gateway.clone(), fetching.clone());
+    let fetch_task = async move {
+        Timer::after(delay.into()).await;
+        run_contained(&gateway, "configuration fetch", fetch(&gateway, source, version)).await;
+        fetching.lock().unwrap_or_else(PoisonError::into_inner).end(version);
+    };
+    executor.spawn(fetch_task).detach();
+}
+
+/// Whether `version` is newer than the active configuration.
+pub fn is_newer<D: Dialect>(gateway: &Gateway<D>, version: u64) -> bool {
+    let current = gateway.configuration().map(|configuration| configuration.version);
+    current.unwrap_or_default() < ConfigVersion(version)
+}
+
+/// Fetches a configuration from a peer unless it has arrived through the store.
+async fn fetch<D: Dialect>(gateway: &Gateway<D>, source: SocketAddr, version: u64) {
+    if !is_newer(gateway, version) {
+        return;
+    }
+    let began = gateway.now();
+    let failure = match HttpClient::new(source).call("GET", CONFIGURATION_PATH, &[], FETCH_TIMEOUT).await {
+        Ok(reply) if reply.status == 200 => {
+            gateway.apply_configuration(reply.body, &source.to_string());
+            None
+        }
+        Ok(reply) => Some(format!("status {}", reply.status)),
+        Err(error) => Some(error.to_string()),
+    };
+    let outcome = if failure.is_none() { "done" } else { "failed" };
+    gateway.metrics.config_fetches.get_or_create(&FetchLabels { outcome }).inc();
+    if let Some(reason) = failure {
+        let waited = gateway.now().since(began);
+        log_event!(Event::ConfigNotFetched, version = version, source = source, reason = reason, waited = waited);
+    }
+}
