Give up a transfer that stalls, not one that takes long, and ask further peers only then

Cause: each fetch of a configuration from a peer had one second from its start to its end, and began at zero. After 300 ms a second and a third peer were asked for the same bytes, and for other versions beside them, over the same link of 10 Mbit/s. A transfer that takes more than half a second alone then never ends: three of them share the link, each is cut off with a part of its bytes, and the next announcement begins three anew. Class: a time-out on a whole transfer and a retry from zero, so that the retries compete with each other for what they wait for.

Change: an answer must begin in time and must not pause for a second; as long as it arrives it has ten. Another peer is asked when no bytes came for 300 ms, or after a second; all fetches count together whichever version they are for, an older version than one that is fetched is not asked for, and a transfer ends when another one was faster. In tests/config_fetches.rs the case after a failure now ends both fetches that it began, since an older version is no longer fetched beside a newer one; two cases are new.

--- a/crates/gateway/src/config_fetches.rs
+++ b/crates/gateway/src/config_fetches.rs
@@ -1,49 +1,72 @@
 //! Which peers are asked for a newer configuration at the same time.
 
-use std::collections::HashMap;
-
 use teaselcroft_parts::Millis;
 
-/// How long one peer may take before another one is asked too: a few times what a configuration of some hundred routes takes
-/// over a link that is not choked.
-const HEDGE_DELAY: Millis = Millis(300);
+/// How long a peer may send nothing before another one is asked too.
+const STALL_DELAY: Millis = Millis(300);
+
+/// How long a peer may take that does send before another one is asked too. Each further transfer takes its share of this
+/// daemon's link from the others.
+const HEDGE_DELAY: Millis = Millis(1_000);
 
-/// The most peers that are asked for one version at once, since each answer loads a link.
+/// The most peers that are asked at once, since each answer loads a link.
 const MAX_FETCHES: u32 = 3;
 
-/// The fetches of one version that run.
+/// The fetches that run.
 #[derive(Debug)]
 struct Running {
     count: u32,
-    /// When the last one began.
+    /// The highest version that was announced by the peers that are asked.
+    version: u64,
+    /// When the last fetch began.
     began: Millis,
+    /// When a peer last sent bytes.
+    received: Option<Millis>,
+}
+
+impl Running {
+    /// Whether a further peer is to be asked although others are.
+    fn admits(&self, version: u64, now: Millis) -> bool {
+        // Whatever version arrives, the next announcement of a newer one follows at once.
+        let is_useless = version > self.version && self.received.is_none();
+        let last_sign = self.received.map_or(self.began, |received| received.max(self.began));
+        let is_slow = now.since(last_sign) >= STALL_DELAY || now.since(self.began) >= HEDGE_DELAY;
+        is_useless || version >= self.version && self.count < MAX_FETCHES && is_slow
+    }
 }
 
-/// The fetches of configurations from peers that run.
+/// The fetches of configurations from peers that run. All of them share this daemon's link, whichever version they are for.
 #[derive(Debug, Default)]
 pub struct ConfigFetches {
-    running: HashMap<u64, Running>,
+    running: Option<Running>,
 }
 
 impl ConfigFetches {
     /// Whether a peer that announces `version` is to be asked for it now; if so, `end` must follow.
     pub fn try_begin(&mut self, version: u64, now: Millis) -> bool {
-        let running = self.running.entry(version).or_insert(Running { count: 0, began: now });
-        let is_due = running.count == 0 || running.count < MAX_FETCHES && now.since(running.began) >= HEDGE_DELAY;
+        let Some(running) = &mut self.running else {
+            self.running = Some(Running { count: 1, version, began: now, received: None });
+            return true;
+        };
+        let is_due = running.admits(version, now);
         if is_due {
-            *running = Running { count: running.count + 1, began: now };
+            *running = Running { count: running.count + 1, version, began: now, received: running.received };
         }
         is_due
     }
 
-    /// Records that a fetch of `version` ended, with or without success.
-    pub fn end(&mut self, version: u64) {
-        let Some(running) = self.running.get_mut(&version) else {
-            return;
-        };
-        running.count = running.count.saturating_sub(1);
-        if running.count == 0 {
-            self.running.remove(&version);
+    /// Records that a peer sent bytes.
+    pub fn progressed(&mut self, now: Millis) {
+        if let Some(running) = &mut self.running {
+            running.received = Some(now);
+        }
+    }
+
+    /// Records that a fetch ended, with or without success.
+    pub fn end(&mut self) {
+        if let Some(running) = &mut self.running {
+            running.count = running.count.saturating_sub(1);
         }
+        self.running.take_if(|running| running.count == 0);
     }
 }
--- a/crates/gateway/src/discovery/runners.rs
+++ b/crates/gateway/src/discovery/runners.rs
@@ -12,7 +12,7 @@
 use super::{DecodedRunners, NewsOutcome, StoreHealth, split_news};
 use crate::dialect::Dialect;
 use crate::gateway::Gateway;
-use crate::http_client::HttpClient;
+use crate::http_client::{CallLimits, HttpClient};
 use crate::peers::{RUNNERS_PATH, send_to_peers};
 use crate::roster::ReaderRole;
 use crate::runner_news::{RunnerChange, RunnerNews};
@@ -31,7 +31,7 @@
 /// The delay before peers that do not have the list of runners yet are asked again.
 const PEERS_RETRY_DELAY: Millis = Millis(120);
 
-/// The timeout for fetching the list of runners from a peer.
+/// The time until a peer begins to send the list of runners.
 const LIST_TIMEOUT: Millis = Millis(1_000);
 
 /// The timeout for connecting to a peer that may have the list of runners. After a power loss some peers are not back yet,
@@ -310,7 +310,8 @@
 
 async fn fetch(peer: SocketAddr) -> Option<RunnerNews> {
     let client = HttpClient::with_connect_timeout(peer, LIST_CONNECT_TIMEOUT);
-    let reply = client.call("GET", RUNNERS_PATH, &[], LIST_TIMEOUT).await.ok()?;
+    let limits = CallLimits { answer: LIST_TIMEOUT, ..CallLimits::default() };
+    let reply = client.download(RUNNERS_PATH, &limits, |_| true).await.ok()?;
     RunnerNews::decode(&*reply.body).ok().filter(|_| reply.status == 200)
 }
 
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -1,6 +1,9 @@
 //! A small HTTP client for calls to the store and to peers.
 
+mod call_limits;
+
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -12,12 +15,10 @@
 use teaselcroft_parts::Millis;
 
 use crate::http::{BodyReader, Connection, PathTimeout, ResponseHead, into_socket, response_body};
+pub use call_limits::CallLimits;
 
 const MAX_HEAD_BYTES: usize = 16_384;
 
-/// The largest body of an answer: several of the store's largest values, encoded.
-const MAX_BODY_BYTES: usize = 24 << 20;
-
 /// How long connecting may take, unless the caller sets another limit.
 const CONNECT_TIMEOUT: Millis = Millis(800);
 
@@ -94,30 +95,41 @@
         body: &[u8],
         timeout: Millis,
     ) -> Result<CallReply, CallError> {
-        let result = or(self.exchange(method, target, fields, body), async {
-            Timer::after(timeout.into()).await;
-            Err(CallError)
-        })
-        .await;
-        if result.is_err() {
-            self.idle().clear();
-        }
-        result
+        let limits = CallLimits { answer: timeout, stall: timeout, total: timeout, ..CallLimits::default() };
+        self.run(&limits, self.exchange(method, target, fields, body, &limits, |_| true)).await
     }
 
-    /// Like [`HttpClient::call`], over a new connection that is not kept.
+    /// Reads a resource that may be large. `receives` is told the bytes of the body so far and whether to go on.
     ///
     /// # Errors
     ///
-    /// No complete answer came in time; the server may still have executed the call.
-    pub async fn call_once(
+    /// No complete answer came within the limits, or `receives` returned false.
+    pub async fn download(
         &self,
-        method: &str,
         target: &str,
-        body: &[u8],
-        timeout: Millis,
+        limits: &CallLimits,
+        receives: impl Fn(usize) -> bool,
     ) -> Result<CallReply, CallError> {
-        HttpClient::with_connect_timeout(self.address, self.connect_timeout).call(method, target, body, timeout).await
+        self.run(limits, self.exchange("GET", target, &[], &[], limits, receives)).await
+    }
+
+    /// Runs an exchange for at most the total time of `limits`.
+    async fn run(
+        &self,
+        limits: &CallLimits,
+        exchange: impl Future<Output = Result<CallReply, CallError>>,
+    ) -> Result<CallReply, CallError> {
+        let result = within(limits.total, exchange).await;
+        if result.is_err() {
+            self.idle().clear();
+        }
+        result
+    }
+
+    /// A client of the same server without connections.
+    #[must_use]
+    pub fn fresh(&self) -> HttpClient {
+        HttpClient { aborts: self.aborts, ..HttpClient::with_connect_timeout(self.address, self.connect_timeout) }
     }
 
     /// Closes the idle connections.
@@ -135,7 +147,38 @@
         target: &str,
         fields: &[(&str, String)],
         body: &[u8],
+        limits: &CallLimits,
+        receives: impl Fn(usize) -> bool,
     ) -> Result<CallReply, CallError> {
+        let (mut connection, head) = within(limits.answer, self.send(method, target, fields, body)).await?;
+        let length = response_body(method, &head).map_err(|_| CallError)?;
+        let mut reader = BodyReader::new(length);
+        let mut body = Vec::new();
+        let read = async |reader: &mut BodyReader, connection: &mut Connection, body: &mut Vec<u8>| {
+            reader.next(connection, body).await.map_err(|_| CallError)
+        };
+        while within(limits.stall, read(&mut reader, &mut connection, &mut body)).await? {
+            if body.len() > limits.body_bytes || !receives(body.len()) {
+                return Err(CallError);
+            }
+        }
+        if head.keeps_alive() && connection.bytes().is_empty() {
+            let mut idle = self.idle();
+            if idle.len() < MAX_IDLE {
+                idle.push(connection);
+            }
+        }
+        Ok(CallReply { status: head.status, body })
+    }
+
+    /// Sends a request and returns its connection with the head of the answer.
+    async fn send(
+        &self,
+        method: &str,
+        target: &str,
+        fields: &[(&str, String)],
+        body: &[u8],
+    ) -> Result<(Connection, ResponseHead), CallError> {
         let mut connection = self.acquire_connection().await?;
         let mut message = format!("{method} {target} HTTP/1.1\r\nHost: {}\r\n", self.address);
         for (name, value) in fields {
@@ -150,21 +193,7 @@
         message.extend_from_slice(body);
         (&**connection.socket()).write_all(&message).await.map_err(|_| CallError)?;
         let head = read_head(&mut connection).await?;
-        let length = response_body(method, &head).map_err(|_| CallError)?;
-        let mut reader = BodyReader::new(length);
-        let mut body = Vec::new();
-        while reader.next(&mut connection, &mut body).await.map_err(|_| CallError)? {
-            if body.len() > MAX_BODY_BYTES {
-                return Err(CallError);
-            }
-        }
-        if head.keeps_alive() && connection.bytes().is_empty() {
-            let mut idle = self.idle();
-            if idle.len() < MAX_IDLE {
-                idle.push(connection);
-            }
-        }
-        Ok(CallReply { status: head.status, body })
+        Ok((connection, head))
     }
 
     async fn acquire_connection(&self) -> Result<Connection, CallError> {
@@ -192,12 +221,17 @@
 /// The connection was refused or not established in time.
 pub async fn connect(address: SocketAddr, timeout: Millis, path: PathTimeout) -> Result<Connection, CallError> {
     let connecting = async { Async::<std::net::TcpStream>::connect(address).await.map_err(|_| CallError) };
-    let stream = or(connecting, async {
+    let stream = within(timeout, connecting).await?;
+    Ok(Connection::new(into_socket(stream, path)))
+}
+
+/// Waits for `step` up to `timeout`.
+async fn within<T>(timeout: Millis, step: impl Future<Output = Result<T, CallError>>) -> Result<T, CallError> {
+    or(step, async {
         Timer::after(timeout.into()).await;
         Err(CallError)
     })
-    .await?;
-    Ok(Connection::new(into_socket(stream, path)))
+    .await
 }
 
 async fn read_head(connection: &mut Connection) -> Result<ResponseHead, CallError> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,7 +16,7 @@
 use crate::duties::{CANDIDATES, boot_time};
 use crate::gateway::{Gateway, unix_ms};
 use crate::heartbeat::{Content, CrashList, Datagram, Heartbeat, MemberRecord, send};
-use crate::http_client::HttpClient;
+use crate::http_client::{CallLimits, HttpClient};
 use crate::placer::answer_query;
 use crate::roster::{FAR_ROUNDS, peer_address};
 use crate::runner_news::RunnerNews;
@@ -42,9 +42,6 @@
 /// The largest datagram that is received whole, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// The timeout for fetching the crashes that a peer knows.
-const FETCH_TIMEOUT: Millis = Millis(1_000);
-
 /// The path at which a daemon serves the list of runners to peers.
 pub const RUNNERS_PATH: &str = "/runners";
 
@@ -394,7 +391,7 @@
 
 /// Fetches the crashes that a peer knows.
 async fn fetch_crashes<D: Dialect>(gateway: &Gateway<D>, peer: String, source: SocketAddr) {
-    let reply = HttpClient::new(source).call("GET", CRASHES_PATH, &[], FETCH_TIMEOUT).await;
+    let reply = HttpClient::new(source).download(CRASHES_PATH, &CallLimits::default(), |_| true).await;
     let list = reply.ok().filter(|reply| reply.status == 200).and_then(|reply| CrashList::decode(&*reply.body).ok());
     let count = match list {
         Some(list) => Some(gateway.merge_crashes(list)),
--- a/crates/gateway/src/peers/fetch_configuration.rs
+++ b/crates/gateway/src/peers/fetch_configuration.rs
@@ -11,16 +11,13 @@
 use crate::containment::run_contained;
 use crate::dialect::Dialect;
 use crate::gateway::Gateway;
-use crate::http_client::HttpClient;
+use crate::http_client::{CallLimits, HttpClient};
 use crate::metrics::FetchLabels;
 use crate::{ConfigFetches, ConfigVersion, Event, log_event};
 
 /// How long to wait for the store to deliver a newer configuration before it is fetched from the peer that has it.
 pub const STORE_DELAY: Millis = Millis(150);
 
-/// The timeout of one fetch.
-const FETCH_TIMEOUT: Millis = Millis(1_000);
-
 /// Starts to fetch a configuration from a peer after `delay` if it is newer and no other peer is expected to send it soon.
 pub fn fetch_newer<D: Dialect>(
     gateway: &Arc<Gateway<D>>,
@@ -41,8 +38,8 @@
     let (gateway, fetching) = (gateway.clone(), fetching.clone());
     let fetch_task = async move {
         Timer::after(delay.into()).await;
-        run_contained(&gateway, "configuration fetch", fetch(&gateway, source, version)).await;
-        fetching.lock().unwrap_or_else(PoisonError::into_inner).end(version);
+        run_contained(&gateway, "configuration fetch", fetch(&gateway, source, version, &fetching)).await;
+        fetching.lock().unwrap_or_else(PoisonError::into_inner).end();
     };
     executor.spawn(fetch_task).detach();
 }
@@ -54,12 +51,17 @@
 }
 
 /// Fetches a configuration from a peer unless it has arrived through the store.
-async fn fetch<D: Dialect>(gateway: &Gateway<D>, source: SocketAddr, version: u64) {
+async fn fetch<D: Dialect>(gateway: &Gateway<D>, source: SocketAddr, version: u64, fetching: &Mutex<ConfigFetches>) {
     if !is_newer(gateway, version) {
         return;
     }
     let began = gateway.now();
-    let failure = match HttpClient::new(source).call("GET", CONFIGURATION_PATH, &[], FETCH_TIMEOUT).await {
+    let client = HttpClient::new(source);
+    let receives = |_| {
+        fetching.lock().unwrap_or_else(PoisonError::into_inner).progressed(gateway.now());
+        is_newer(gateway, version)
+    };
+    let failure = match client.download(CONFIGURATION_PATH, &CallLimits::default(), receives).await {
         Ok(reply) if reply.status == 200 => {
             gateway.apply_configuration(reply.body, &source.to_string());
             None
@@ -67,9 +69,10 @@
         Ok(reply) => Some(format!("status {}", reply.status)),
         Err(error) => Some(error.to_string()),
     };
-    let outcome = if failure.is_none() { "done" } else { "failed" };
+    let outcome = if is_newer(gateway, version) { "failed" } else { "done" };
     gateway.metrics.config_fetches.get_or_create(&FetchLabels { outcome }).inc();
-    if let Some(reason) = failure {
+    // A transfer ends early when another peer was faster.
+    if let Some(reason) = failure.filter(|_| is_newer(gateway, version)) {
         let waited = gateway.now().since(began);
         log_event!(Event::ConfigNotFetched, version = version, source = source, reason = reason, waited = waited);
     }
--- a/crates/gateway/tests/config_fetches.rs
+++ b/crates/gateway/tests/config_fetches.rs
@@ -28,7 +28,7 @@
             if is_answer {
                 return (now, most);
             }
-            fetches.end(VERSION);
+            fetches.end();
         }
         if fetches.try_begin(VERSION, now) {
             asked += 1;
@@ -55,6 +55,59 @@
     assert!(took < Millis(2_500) && most <= 3, "{took}, {most} at once");
 }
 
+/// When a daemon has a version that takes `alone` over its link if nothing else does, and the most transfers at once. All
+/// transfers share the link, and each receives bytes in every step.
+fn fetch_over_narrow_link(alone: Millis) -> (Millis, usize) {
+    const STEP: u64 = 10;
+    let mut fetches = ConfigFetches::default();
+    let mut left: Vec<f64> = Vec::new();
+    let mut most = 0;
+    for now in (0..20_000).step_by(STEP as usize).map(Millis) {
+        let share = STEP as f64 / left.len().max(1) as f64;
+        left.iter_mut().for_each(|left| *left -= share);
+        if left.iter().any(|left| *left <= 0.0) {
+            return (now, most);
+        }
+        if !left.is_empty() {
+            fetches.progressed(now);
+        }
+        if now.0.is_multiple_of(HEARTBEAT_GAP.0) && fetches.try_begin(VERSION, now) {
+            left.push(alone.0 as f64);
+            most = most.max(left.len());
+        }
+    }
+    panic!("{alone} alone: never complete")
+}
+
+#[test]
+fn further_fetches_do_not_starve_the_transfer_that_runs() {
+    for alone in (100..=1_000).step_by(50).map(Millis) {
+        let (took, most) = fetch_over_narrow_link(alone);
+
+        assert!(took.0 <= alone.0 + 20 && most == 1, "{alone} alone: {took}, {most} at once");
+    }
+    let (took, _) = fetch_over_narrow_link(Millis(1_500));
+    assert!(took < Millis(2_500), "{took}");
+}
+
+/// Versions that follow each other faster than one arrives share the link too.
+#[test]
+fn newer_versions_do_not_starve_the_transfer_that_runs() {
+    let mut fetches = ConfigFetches::default();
+    assert!(fetches.try_begin(1, Millis(0)));
+
+    let begun = (1..=8).filter(|step| {
+        let now = Millis(step * 100);
+        fetches.progressed(now);
+        fetches.try_begin(1 + step, now)
+    });
+
+    assert_eq!(begun.count(), 0);
+    fetches.end();
+    assert!(fetches.try_begin(9, Millis(900)), "once the transfer has ended");
+    assert!(!fetches.try_begin(8, Millis(2_000)), "an older version than the one that is fetched");
+}
+
 #[test]
 fn each_version_is_fetched_by_itself_and_again_after_a_failure() {
     let mut fetches = ConfigFetches::default();
@@ -62,6 +115,7 @@
     assert!(fetches.try_begin(1, Millis(0)));
     assert!(!fetches.try_begin(1, Millis(10)));
     assert!(fetches.try_begin(2, Millis(10)), "another version");
-    fetches.end(1);
+    fetches.end();
+    fetches.end();
     assert!(fetches.try_begin(1, Millis(20)), "after a failure");
 }
