Take a revision of a later store era for the higher one, and list again when the era rises

Callers would see (CONFIG, and DRAIN for runners): after the store came back from an older copy, a configuration or a departure was not in force until something else was written, or never.

Cause: a higher revision was taken for a later one everywhere, but a restored store gives its numbers out again. A daemon that knew revision 50 of the lost history asked for changes after 50 of the new one. Once that had passed 50, the answer was neither 410 nor complete, and counted as evidence that the configuration is the newest; a watch that waited through the restore heard nothing, and no other call showed it. Below 50 each check got 410 and began all watches anew, and listeners took their readers' news for old. Class: an order that holds within one history is used across two.

Change: the era of each answer (Store-Era) is part of its revisions, above the number, so that every comparison, heartbeat and message of runner news orders them rightly; answers of another era than the one asked after count as compacted history. A daemon that learns of a later era, from any answer or from a peer's heartbeat or news, begins its watches anew (event 616, metric store_era); a listener takes no list of an earlier era. A store without the header is in era 0.

Evidence: a_configuration_below_a_revision_of_the_lost_history_takes_effect and a_runner_that_leaves_below_a_revision_of_the_lost_history_gets_no_more_requests failed on the code before (no change seen in 20 s); both pass.

--- a/crates/gateway/src/config_check.rs
+++ b/crates/gateway/src/config_check.rs
@@ -64,7 +64,8 @@
     /// Records that an answer about other keys, which came at `at`, was complete up to `revision` and contained changes of
     /// the revisions `changed`. The configuration is unchanged if these are all revisions since it was last read.
     pub fn note_other(&mut self, changed: impl IntoIterator<Item = Revision>, revision: Revision, at: Millis) {
-        let Some(known) = self.revision.filter(|known| *known <= revision) else {
+        let is_before = |known: &Revision| known.era() == revision.era() && *known <= revision;
+        let Some(known) = self.revision.filter(is_before) else {
             return;
         };
         let is_between = |changed: &Revision| *changed > known && *changed <= revision;
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -128,7 +128,9 @@
 /// Never returns.
 pub async fn list_members<D: Dialect, S: Store>(gateway: Arc<Gateway<D>>, store: Arc<S>) {
     loop {
-        let is_known = match store.list_stale(OWN_PREFIX).await {
+        let listed = store.list_stale(OWN_PREFIX).await;
+        gateway.note_store_era(store.era(), "store");
+        let is_known = match listed {
             Ok(changes) => learn_entries(&gateway, changes.changes),
             Err(error) => {
                 log::debug!("failed to list the daemons' entries: {error}");
--- a/crates/gateway/src/discovery/check_configuration.rs
+++ b/crates/gateway/src/discovery/check_configuration.rs
@@ -43,6 +43,7 @@
         }
         let result = store.changes_since(gateway.dialect.configuration_key(), after).await;
         count(&gateway, "check", &result);
+        gateway.note_store_era(store.era(), "store");
         match result {
             Ok(changes) => {
                 backoff.reset();
--- a/crates/gateway/src/discovery/follow.rs
+++ b/crates/gateway/src/discovery/follow.rs
@@ -1,5 +1,5 @@
 //! Follows the keys under a prefix: lists them first, then watches for changes, and lists again when the store has
-//! compacted the history.
+//! compacted the history or came back from an older copy.
 
 use std::future::pending;
 
@@ -87,6 +87,7 @@
             Some(after) => ("watch", self.watch(after, self.wait.min(longest)).await),
         };
         count(self.gateway, call, &result);
+        self.gateway.note_store_era(self.store.era(), "store");
         if let Err(error) = &result {
             let waited = self.gateway.now().since(began);
             log_event!(Event::StoreCallFailed, call = call, prefix = self.prefix, reason = error, waited = waited);
@@ -128,7 +129,9 @@
         }
         let restart = self.gateway.watch_restart();
         let ping = async {
-            match self.store.ping().await {
+            let pinged = self.store.ping().await;
+            self.gateway.note_store_era(self.store.era(), "store");
+            match pinged {
                 Err(StoreError::Silent) => Err(StoreError::Silent),
                 // A call that is rejected has been answered, as the watch will be.
                 Ok(()) | Err(_) => pending().await,
--- a/crates/gateway/src/discovery/runners.rs
+++ b/crates/gateway/src/discovery/runners.rs
@@ -204,7 +204,11 @@
 
     /// Fetches the list of runners from the first of `peers` that has one; false if none sends it.
     async fn fetch_list_from(&mut self, peers: &[SocketAddr]) -> bool {
-        let is_current = |list: &RunnerNews| Some(Revision(list.revision)) >= self.gateway.runner_index().revision();
+        let era = self.gateway.store_era();
+        let is_current = |list: &RunnerNews| {
+            let revision = Revision(list.revision);
+            Some(revision.era()) >= era && Some(revision) >= self.gateway.runner_index().revision()
+        };
         let Some(list) = fetch_runners(peers, is_current).await else {
             return false;
         };
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -23,6 +23,8 @@
     MemberRegistered = 614;
     /// A list or watch failed after the stated wait; it is repeated.
     StoreCallFailed = 615;
+    /// The store came back from an older copy, as it or a peer states by its era; all keys are listed again.
+    StoreRestored = 616;
     /// A peer's heartbeats arrive, for the first time or again.
     PeerHeard = 620;
     /// A peer has sent no heartbeat for too long.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod duties;
 mod request_count;
+mod store_era;
 mod usage;
 
 use std::net::{IpAddr, SocketAddr};
@@ -30,6 +31,7 @@
 use crate::retry_limiter::RetryLimiter;
 use crate::roster::{ReaderRole, Roster, peer_address};
 use crate::runner_news::RunnerNews;
+use crate::store::Era;
 use crate::usage::UsageTracker;
 use crate::{Condition, Configuration, Duty, Event, Settings, log_event};
 
@@ -73,6 +75,8 @@
     crash_sync: Mutex<CrashSync>,
     config_check: Mutex<ConfigCheck>,
     watch_restart: event_listener::Event,
+    /// `None` before the first answer of the store.
+    store_era: Mutex<Option<Era>>,
     unstored_sender: Sender<Suspect>,
     unstored: Receiver<Suspect>,
     holders: Mutex<HolderView>,
@@ -163,6 +167,7 @@
             crash_sync: Mutex::default(),
             config_check: Mutex::default(),
             watch_restart: event_listener::Event::new(),
+            store_era: Mutex::default(),
             unstored_sender,
             unstored,
             holders: Mutex::default(),
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -250,6 +250,9 @@
     /// What the sender's clock shows, in milliseconds of Unix time; absent where no usage is reported.
     #[prost(uint64, optional, tag = "17")]
     pub unix_ms: Option<u64>,
+    /// The highest era of the store that the sender knows; a watch that waits does not show that it rose.
+    #[prost(uint64, optional, tag = "22")]
+    pub store_era: Option<u64>,
 }
 
 /// Asks the placement leader for a runner.
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -14,7 +14,7 @@
 use socket2::SockRef;
 use teaselcroft_parts::Millis;
 
-use crate::http::{BodyReader, Connection, PathTimeout, ResponseHead, into_socket, response_body};
+use crate::http::{BodyReader, Connection, Fields, PathTimeout, ResponseHead, into_socket, response_body};
 pub use call_limits::CallLimits;
 
 const MAX_HEAD_BYTES: usize = 16_384;
@@ -38,10 +38,12 @@
 impl std::error::Error for CallError {}
 
 /// A complete answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct CallReply {
     /// The status code.
     pub status: u16,
+    /// The header fields.
+    pub fields: Fields,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -168,7 +170,7 @@
                 idle.push(connection);
             }
         }
-        Ok(CallReply { status: head.status, body })
+        Ok(CallReply { status: head.status, fields: head.fields, body })
     }
 
     /// Sends a request and returns its connection with the head of the answer.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,6 +86,8 @@
     pub store_calls: Family<StoreLabels, Counter>,
     /// Fetches of newer configurations from peers, by outcome.
     pub config_fetches: Family<FetchLabels, Counter>,
+    /// How often the store came back from an older copy, as it states.
+    pub store_era: Gauge,
     /// The version of the active configuration.
     pub version: Gauge,
     /// Known runners that accept requests.
@@ -131,6 +133,7 @@
             seconds: buckets(),
             store_calls: Family::default(),
             config_fetches: Family::default(),
+            store_era: Gauge::default(),
             version: Gauge::default(),
             runners: Gauge::default(),
             peers: Gauge::default(),
@@ -162,6 +165,7 @@
         registry.register("request_seconds", "Time to the end", self.seconds.clone());
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         registry.register("config_fetches", "Fetches of configurations from peers", self.config_fetches.clone());
+        registry.register("store_era", "How often the store came back from an older copy", self.store_era.clone());
         registry.register("configuration_version", "The configuration in force", self.version.clone());
         registry.register("runners_ready", "Runners that take requests", self.runners.clone());
         registry.register("peers_live", "Peers that are ready and heard", self.peers.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use crate::placer::answer_query;
 use crate::roster::{FAR_ROUNDS, peer_address};
 use crate::runner_news::RunnerNews;
+use crate::store::{Era, Revision};
 use crate::{ConfigFetches, Event, RequestRate, log_event};
 use fetch_configuration::{STORE_DELAY, fetch_newer, is_newer};
 
@@ -256,6 +257,7 @@
         duty,
         members: Vec::new(),
         unix_ms: gateway.has_usage().then(unix_ms),
+        store_era: gateway.store_era().map(|era| era.0),
     };
     (heartbeat, members)
 }
@@ -295,6 +297,9 @@
             Ok(Some(Content::News(news))) => {
                 let source = SocketAddr::new(from.ip(), gateway.settings.peer.port());
                 fetch_newer(&gateway, source, news.version, Millis(0), &executor, &fetching);
+                // Without revisions, the news carries only the version of the configuration.
+                let revision = Some(Revision(news.revision)).filter(|revision| revision.number() > 0);
+                gateway.note_store_era(revision.map(Revision::era), &from.ip().to_string());
                 gateway.queue_runner_changes(news);
             }
             Ok(Some(Content::Usage(news))) => gateway.merge_usage(news),
@@ -333,6 +338,7 @@
             gateway.request_phase_heartbeats();
         }
     }
+    gateway.note_store_era(heartbeat.store_era.map(Era), &name);
     let token = (heartbeat.duty > 0).then_some(FencingToken(heartbeat.duty));
     if gateway.holders().heard(&name, token, now) {
         log_event!(Event::HolderChanged, peer = name, fence = heartbeat.duty);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,19 +1,15 @@
 //! The interface to the platform's key-value store.
 
+mod era;
+mod revision;
+
 use std::fmt;
 use std::future::Future;
 
 use teaselcroft_parts::Millis;
 
-/// A revision of the store; each write gets a higher one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
+pub use era::Era;
+pub use revision::Revision;
 
 /// The id of a lease; the keys written under it are removed when it expires.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -32,7 +28,7 @@
     Silent,
     /// The store rejected the call; nothing was applied.
     Busy,
-    /// The requested revisions were compacted; the keys must be listed again.
+    /// The requested revisions were compacted, or belong to an earlier era; the keys must be listed again.
     Compacted,
     /// There is no such key or lease.
     Missing,
@@ -112,6 +108,11 @@
 
 /// The calls that the gateway makes to the platform's key-value store.
 pub trait Store: Send + Sync + 'static {
+    /// The highest era of the answers so far; `None` before the first one.
+    fn era(&self) -> Option<Era> {
+        None
+    }
+
     /// Lists every key that begins with `prefix`, as of now.
     ///
     /// # Errors
