Write again what the store lost with its later history: registrations, the holder's key, stored crashes

Callers would see: nothing at once. A daemon that starts later does not find the daemons whose entries were lost, and learns nothing of what crashes runners; the duties are performed under a key that the store does not have, so that a second holder can claim them.

Cause: a lease that is renewed was taken for proof that the keys under it are there. The copy may be of a moment between the grant of a lease and the write of its key, or before a later write; then the lease lives on and the key is gone for good. Without the lease, its loss showed only at the next renewal, up to six seconds later.

Change: each daemon remembers in which era its entry was written, and registers anew when the era rises. A holder whose token is of an earlier era takes a renewal for refused, and claims again. Crashes that were stored count as not stored.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -193,6 +193,11 @@
         self.stored.insert(suspect);
     }
 
+    /// Records that the store may have lost the crashes that it had; those of blocked suspects are due again.
+    pub fn forget_stored(&mut self) {
+        self.stored.clear();
+    }
+
     /// Records that the store has these crashes.
     pub fn note_stored(&mut self, crashes: &[Crash]) {
         self.stored.extend(crashes.iter().map(|crash| Suspect::from(*crash)));
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 
 use async_io::Timer;
+use futures_lite::future::or;
 use prost::Message;
 use teaselcroft_parts::Millis;
 
@@ -23,7 +24,7 @@
 use crate::peers::send_to_peers;
 use crate::roster::ReaderRole;
 use crate::runner_news::RunnerNews;
-use crate::store::{Change, Changes, LeaseId, Revision, Store, StoreError};
+use crate::store::{Change, Changes, Era, LeaseId, Revision, Store, StoreError, Transaction, Write};
 use crate::{Event, log_event};
 pub use check_configuration::check_configuration;
 pub use decoded_runners::DecodedRunners;
@@ -184,14 +185,14 @@
     let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
     while !gateway.is_stopping() {
         match register(&gateway, &*store).await {
-            Ok(granted) if gateway.is_stopping() => {
+            Ok((granted, _)) if gateway.is_stopping() => {
                 let revoked = store.revoke(granted).await;
                 log::debug!("the lease granted during the stop was revoked: {revoked:?}");
             }
-            Ok(granted) => {
+            Ok((granted, era)) => {
                 backoff.reset();
                 *lease.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(granted);
-                renew(&*store, granted).await;
+                renew(&gateway, &*store, granted, era).await;
             }
             Err(error) => {
                 log::debug!("failed to register this daemon: {error}");
@@ -201,19 +202,34 @@
     }
 }
 
-async fn register<D: Dialect, S: Store>(gateway: &Gateway<D>, store: &S) -> Result<LeaseId, StoreError> {
+/// Returns the lease of this daemon's entry, and the era in which the entry was written.
+async fn register<D: Dialect, S: Store>(gateway: &Gateway<D>, store: &S) -> Result<(LeaseId, Era), StoreError> {
     let lease = store.grant(LEASE_TTL).await?;
     let me = gateway.roster().me.clone();
-    store.put(&format!("{MEMBER_PREFIX}{}", me.name), &me.encode_to_vec(), lease).await?;
+    let key = format!("{MEMBER_PREFIX}{}", me.name);
+    let entry = Write { key, value: me.encode_to_vec(), lease: Some(lease) };
+    let revision = store.commit(Transaction { writes: vec![entry], ..Transaction::default() }).await?;
     log_event!(Event::MemberRegistered, name = me.name, lease = lease);
-    Ok(lease)
+    Ok((lease, revision.era()))
 }
 
-/// Renews a lease until the store no longer has it; other errors are retried at the next renewal.
-async fn renew<S: Store>(store: &S, lease: LeaseId) {
+/// Renews the lease of an entry that was written in `era`, until the store may no longer have both; other errors are retried at
+/// the next renewal.
+async fn renew<D: Dialect, S: Store>(gateway: &Gateway<D>, store: &S, lease: LeaseId, era: Era) {
     loop {
-        Timer::after(RENEWAL_INTERVAL.into()).await;
-        if store.renew(lease).await == Err(StoreError::Missing) {
+        let risen = gateway.next_era();
+        let pause = async {
+            Timer::after(RENEWAL_INTERVAL.into()).await;
+        };
+        if gateway.store_era() <= Some(era) {
+            or(pause, risen).await;
+        }
+        if gateway.store_era() > Some(era) {
+            return;
+        }
+        let renewed = store.renew(lease).await;
+        gateway.note_store_era(store.era(), "store");
+        if renewed == Err(StoreError::Missing) {
             return;
         }
     }
--- a/crates/gateway/src/duties/driver.rs
+++ b/crates/gateway/src/duties/driver.rs
@@ -13,7 +13,7 @@
 use crate::gateway::Gateway;
 use crate::heartbeat::Phase;
 use crate::peers::announce_duty;
-use crate::store::Store;
+use crate::store::{Revision, Store};
 use crate::{Event, log_event};
 
 /// The time between two looks of the holder and of the candidates at what is due.
@@ -59,12 +59,21 @@
             or(timer, news).await;
             continue;
         };
-        let answer = perform(access.store(), action.clone(), access.times()).await;
+        let mut answer = perform(access.store(), action.clone(), access.times()).await;
+        gateway.note_store_era(access.store().era(), "store");
+        if matches!(action, DutyAction::Renew(_)) && is_key_lost(&access) {
+            answer = DutyAnswer::Missing;
+        }
         log_answer(&action, &answer);
         access.holder().answered(boot_time(), answer);
     }
 }
 
+/// Whether the store came back from an older copy since this daemon's key was written: its lease may be there, its key not.
+fn is_key_lost<S: Store, C: ControlApi>(access: &DutyAccess<C, S>) -> bool {
+    access.holder().key_token().is_some_and(|token| Some(Revision(token.0).era()) < access.store().era())
+}
+
 fn view<D: Dialect, S: Store, C: ControlApi>(
     gateway: &Gateway<D>,
     access: &DutyAccess<C, S>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -77,6 +77,7 @@
     watch_restart: event_listener::Event,
     /// `None` before the first answer of the store.
     store_era: Mutex<Option<Era>>,
+    era_risen: event_listener::Event,
     unstored_sender: Sender<Suspect>,
     unstored: Receiver<Suspect>,
     holders: Mutex<HolderView>,
@@ -168,6 +169,7 @@
             config_check: Mutex::default(),
             watch_restart: event_listener::Event::new(),
             store_era: Mutex::default(),
+            era_risen: event_listener::Event::new(),
             unstored_sender,
             unstored,
             holders: Mutex::default(),
--- a/crates/gateway/src/gateway/store_era.rs
+++ b/crates/gateway/src/gateway/store_era.rs
@@ -1,5 +1,7 @@
 //! What this daemon does when the store comes back from an older copy.
 
+use event_listener::EventListener;
+
 use super::{Gateway, lock};
 use crate::dialect::Dialect;
 use crate::store::Era;
@@ -12,7 +14,7 @@
     }
 
     /// Records the store's era, as an answer of the store or a peer stated it. When it rises, watches that wait begin anew, since
-    /// those of an earlier era deliver nothing.
+    /// those of an earlier era deliver nothing, and whatever this daemon wrote is written again.
     pub fn note_store_era(&self, era: Option<Era>, source: &str) {
         let before = {
             let mut known = lock(&self.store_era);
@@ -28,6 +30,13 @@
             return;
         };
         log_event!(Event::StoreRestored, era = era, previous = before, source = source);
+        self.crashes().forget_stored();
         self.restart_watches();
+        self.era_risen.notify(usize::MAX);
+    }
+
+    /// Waits until the store's era rises.
+    pub fn next_era(&self) -> EventListener {
+        self.era_risen.listen()
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -239,6 +239,8 @@
 
     assert_eq!(unstored, [vec![content], vec![crashing]]);
     assert_eq!(trackers[0].unstored(&carried[0], Millis(400)), Vec::new(), "once");
+    trackers[0].forget_stored();
+    assert_eq!(trackers[0].unstored(&carried[0], Millis(400)), [content], "again after the store may have lost them");
 }
 
 #[test]
--- a/crates/parts/src/duty.rs
+++ b/crates/parts/src/duty.rs
@@ -64,6 +64,14 @@
         self.valid_hold(now).map(|hold| hold.token)
     }
 
+    /// The token of this daemon's key, although its lease may have lapsed.
+    pub const fn key_token(&self) -> Option<FencingToken> {
+        match &self.phase {
+            Phase::Holding(hold) => Some(hold.token),
+            _ => None,
+        }
+    }
+
     fn valid_hold(&self, now: Millis) -> Option<&Hold> {
         let Phase::Holding(hold) = &self.phase else {
             return None;
