Do not use a runner that left because a copy of the store brings back its entry

Cause: what the store says last was taken for what the runner said last. A store that comes back from a copy some seconds old has the entry from before the departure; by its revision it is the newest, so that the runner counted as ready, and peers' word that it left as outdated.

Change: each start of a runner that leaves by its entry, or whose entry is gone for good, is remembered for a minute with the revision. The first entry of a later era does not make it ready; one that is written after it in that era does.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -148,9 +148,9 @@
         self.runners.find(&record.name).is_some_and(|(_, state)| state.record().started_at > record.started_at)
     }
 
-    /// Removes a runner and returns the key it had.
+    /// Removes a runner whose entry is gone for good, and returns the key it had.
     pub fn remove_runner(&mut self, name: &RunnerName) -> Option<RunnerKey> {
-        let key = self.runners.remove(name)?;
+        let key = self.runners.remove_departed(name)?;
         self.caches.forget(key);
         Some(key)
     }
@@ -188,7 +188,7 @@
         if !state.record().is_ready || is_outdated {
             return None;
         }
-        state.withdraw();
+        state.withdraw(state.revision().max(Revision(departure.revision)));
         Some(state.record().name.clone())
     }
 
--- a/crates/gateway/src/fleet/runner_table.rs
+++ b/crates/gateway/src/fleet/runner_table.rs
@@ -1,6 +1,7 @@
 //! The known runners, with every index of them.
 
 mod allowance;
+mod departure;
 mod limit_statement;
 mod runner_state;
 mod stated;
@@ -14,6 +15,7 @@
 use crate::RunnerRecord;
 use crate::store::Revision;
 
+use departure::Departure;
 pub use limit_statement::LimitStatement;
 pub use runner_state::RunnerState;
 pub use stated::Stated;
@@ -49,7 +51,7 @@
     /// as a new runner; what the same start stated is kept. An entry of an earlier start changes nothing.
     pub fn upsert(&mut self, mut record: RunnerRecord, revision: Revision) -> Upserted {
         let hash = runner_hash(&record.name, record.started_at);
-        record.is_ready &= self.stated(hash).is_none_or(|stated| stated.leaving.is_none());
+        record.is_ready &= self.is_taking_requests(hash, record.is_ready, revision);
         let known = self.names.get(&record.name).copied();
         if let Some((key, state)) = known.and_then(|key| Some((key, self.runners.get_mut(key)?))) {
             if state.record.started_at > record.started_at {
@@ -81,6 +83,31 @@
         Upserted::Added(removed)
     }
 
+    /// Whether a start takes requests, whose entry as of `revision` says whether it is ready.
+    fn is_taking_requests(&mut self, hash: u64, is_ready: bool, revision: Revision) -> bool {
+        if !is_ready {
+            self.stated_mut(hash).departure = Some(Departure::new(revision));
+            return false;
+        }
+        if self.stated(hash).is_none() {
+            return true;
+        }
+        let stated = self.stated_mut(hash);
+        let is_copied = stated.departure.as_mut().is_some_and(|departure| departure.overrules(revision));
+        if !is_copied {
+            stated.departure = None;
+        }
+        stated.leaving.is_none() && !is_copied
+    }
+
+    /// Removes a runner whose entry is gone for good; returns its former key.
+    pub fn remove_departed(&mut self, name: &RunnerName) -> Option<RunnerKey> {
+        let (_, state) = self.find(name)?;
+        let (hash, departure) = (state.hash, Departure::new(state.revision));
+        self.stated_mut(hash).departure = Some(departure);
+        self.remove(name)
+    }
+
     /// Removes a runner; returns its former key. What it stated is kept, since its entry may return within the same start.
     pub fn remove(&mut self, name: &RunnerName) -> Option<RunnerKey> {
         let key = self.names.remove(name)?;
--- a/crates/gateway/src/fleet/runner_table/runner_state.rs
+++ b/crates/gateway/src/fleet/runner_table/runner_state.rs
@@ -7,7 +7,7 @@
 use teaselcroft_parts::Millis;
 use teaselcroft_policy::{OutlierState, PrefillMeter};
 
-use super::Stated;
+use super::{Departure, Stated};
 use crate::RunnerRecord;
 use crate::fleet::placement::seeded_hash;
 use crate::fleet::pressure::Pressure;
@@ -103,8 +103,9 @@
         self.hash
     }
 
-    /// Stops new requests until another entry says that it takes them; no index depends on that.
-    pub fn withdraw(&mut self) {
+    /// Stops new requests until an entry later than `revision` says that it takes them; no index depends on that.
+    pub fn withdraw(&mut self, revision: Revision) {
+        self.stated.departure = Some(Departure::new(revision));
         self.record = RunnerRecord { is_ready: false, ..(*self.record).clone() }.into();
     }
 
--- a/crates/gateway/src/fleet/runner_table/stated.rs
+++ b/crates/gateway/src/fleet/runner_table/stated.rs
@@ -5,6 +5,7 @@
 use teaselcroft_parts::Millis;
 
 use super::allowance::Allowance;
+use super::departure::Departure;
 use super::limit_statement::LimitStatement;
 use crate::RequestRate;
 
@@ -20,6 +21,8 @@
 pub struct Stated {
     /// When it was last heard that the runner leaves, if it said so.
     pub leaving: Option<Millis>,
+    /// How it left by its entry, if it did.
+    pub departure: Option<Departure>,
     /// Until when it wants no request from this daemon.
     pub held_until: Millis,
     /// What it stated last about the rate of requests that it takes; `None` if it never had a limit.
@@ -36,12 +39,16 @@
     /// Whether any of it still matters once the runner has no entry.
     pub fn outlives_entry(&self, now: Millis) -> bool {
         let is_limited = |limit: LimitStatement| now.since(limit.at) < ABSENT_LIMIT_TTL;
-        self.leaving.is_some() || self.held_until > now || self.limit.is_some_and(is_limited)
+        self.leaving.is_some()
+            || self.departure.is_some()
+            || self.held_until > now
+            || self.limit.is_some_and(is_limited)
     }
 
-    /// Forgets that the runner said that it leaves, if that was long ago.
+    /// Forgets that the runner left or said that it leaves, if that was long ago.
     pub fn expire(&mut self, now: Millis) {
         self.leaving = self.leaving.filter(|heard| now.since(*heard) < LEAVING_TTL);
+        self.departure.take_if(|departure| !departure.is_recent(now));
     }
 
     /// The rate limit that the runner has now.
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -2,9 +2,10 @@
 
 #![allow(clippy::unwrap_used)]
 
+use teaselcroft_gateway::fleet::Fleet;
 use teaselcroft_gateway::runner_news::{RunnerChange, RunnerNews};
 use teaselcroft_gateway::store::{Era, Revision};
-use teaselcroft_gateway::{ConfigCheck, NewsOutcome, RunnerIndex, split_news};
+use teaselcroft_gateway::{ConfigCheck, NewsOutcome, RunnerIndex, RunnerRecord, split_news};
 use teaselcroft_parts::Millis;
 
 const fn at(era: u64, number: u64) -> Revision {
@@ -73,3 +74,61 @@
     let changes: Vec<RunnerChange> = index.replace(&[], &[], at(2, 46));
     assert!(changes.is_empty() && index.revision() == Some(at(2, 46)));
 }
+
+fn runner(is_ready: bool) -> RunnerRecord {
+    RunnerRecord {
+        name: "i-1".parse().unwrap(),
+        started_at: 1,
+        service: "compost".parse().unwrap(),
+        address: "10.0.0.1:8000".parse().unwrap(),
+        zone: "fayon".parse().unwrap(),
+        slots: 6,
+        is_ready,
+        is_preemptible: false,
+    }
+}
+
+fn takes_requests(fleet: &Fleet) -> bool {
+    fleet.find(&runner(true).name).is_some_and(|(_, record, _)| record.is_ready)
+}
+
+#[test]
+fn an_entry_that_a_copy_brings_back_does_not_make_a_leaving_runner_ready() {
+    let mut fleet = Fleet::new("fayon".parse().unwrap());
+    fleet.upsert(runner(true), at(1, 40));
+    fleet.upsert(runner(false), at(1, 50));
+
+    fleet.upsert(runner(true), at(2, 40));
+    let after_copy = takes_requests(&fleet);
+    fleet.upsert(runner(true), at(2, 40));
+    let listed_again = takes_requests(&fleet);
+    fleet.upsert(runner(true), at(2, 46));
+
+    assert_eq!((after_copy, listed_again), (false, false));
+    assert!(takes_requests(&fleet), "written by the runner in the new era");
+}
+
+#[test]
+fn an_entry_that_a_copy_brings_back_does_not_bring_back_a_runner_that_is_gone() {
+    let mut fleet = Fleet::new("fayon".parse().unwrap());
+    fleet.upsert(runner(true), at(1, 40));
+    fleet.remove_runner(&runner(true).name);
+
+    fleet.upsert(runner(true), at(2, 40));
+    let after_copy = takes_requests(&fleet);
+    fleet.remove_runner(&runner(true).name);
+    fleet.upsert(runner(true), at(2, 46));
+
+    assert!(!after_copy);
+    assert!(takes_requests(&fleet), "its entry returned within the era");
+}
+
+#[test]
+fn a_runner_that_did_not_leave_is_used_as_before_when_a_copy_brings_back_its_entry() {
+    let mut fleet = Fleet::new("fayon".parse().unwrap());
+    fleet.upsert(runner(true), at(1, 40));
+
+    fleet.upsert(runner(true), at(2, 40));
+
+    assert!(takes_requests(&fleet));
+}
