Bound the lists of cached parts that a starting daemon reads from runners

Callers would see: connections that end without an answer, when the daemon that served them runs out of memory (LOST, and a process that ends by itself). Reported by another operator of a like system: a faulty runner sends bytes without end.

Cause: answers to requests are bounded and reserved, but the client for the store and peers also reads the runners' lists of cached parts, 24 at once, with the bound that fits the store's largest values (24 MiB each) and no reservation. Class: a limit chosen for a trusted server is used for one that is not.

Change: a list may have 1 MiB and is reserved from the memory for bodies as it arrives; what does not fit counts as no list.

--- a/crates/gateway/src/cache_reader.rs
+++ b/crates/gateway/src/cache_reader.rs
@@ -13,7 +13,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::RunnerKey;
 use crate::gateway::Gateway;
-use crate::http_client::HttpClient;
+use crate::http_client::{CallLimits, HttpClient};
 use crate::peers::SETTLE_TIME;
 use crate::{Event, RunnerRecord, log_event};
 
@@ -26,6 +26,9 @@
 /// The timeout of one call; a runner that does not answer in time is used as if it had nothing cached.
 const CALL_TIMEOUT: Millis = Millis(1_000);
 
+/// The largest list that is read, in bytes: some ten thousand parts.
+const MAX_LIST_BYTES: usize = 1 << 20;
+
 /// Reads the caches of all runners with an engine if this daemon leads placement before it is settled, which it then is;
 /// returns once it is settled.
 pub async fn read_caches<D: Dialect>(gateway: Arc<Gateway<D>>) {
@@ -69,7 +72,10 @@
 /// Reads one runner's cache; returns the number of parts in it, or `None` without a usable answer.
 async fn read_one<D: Dialect>(gateway: &Gateway<D>, key: RunnerKey, record: Arc<RunnerRecord>) -> Option<usize> {
     let client = HttpClient::new(record.address);
-    let reply = client.call("GET", gateway.dialect.cached_parts_path(), &[], CALL_TIMEOUT).await;
+    let limits = CallLimits { total: CALL_TIMEOUT, body_bytes: MAX_LIST_BYTES, ..CallLimits::default() };
+    let mut reservation = gateway.body_memory.reservation();
+    let receives = |bytes: usize| reservation.grow_to(bytes as u64);
+    let reply = client.download(gateway.dialect.cached_parts_path(), &limits, receives).await;
     let parts = match reply {
         Ok(reply) if reply.status == 200 => gateway.dialect.cached_parts(&reply.body),
         Ok(reply) => {
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -110,7 +110,7 @@
         &self,
         target: &str,
         limits: &CallLimits,
-        receives: impl Fn(usize) -> bool,
+        receives: impl FnMut(usize) -> bool,
     ) -> Result<CallReply, CallError> {
         self.run(limits, self.exchange("GET", target, &[], &[], limits, receives)).await
     }
@@ -150,7 +150,7 @@
         fields: &[(&str, String)],
         body: &[u8],
         limits: &CallLimits,
-        receives: impl Fn(usize) -> bool,
+        mut receives: impl FnMut(usize) -> bool,
     ) -> Result<CallReply, CallError> {
         let (mut connection, head) = within(limits.answer, self.send(method, target, fields, body)).await?;
         let length = response_body(method, &head).map_err(|_| CallError)?;
--- a/crates/gateway/src/http_client/call_limits.rs
+++ b/crates/gateway/src/http_client/call_limits.rs
@@ -17,8 +17,8 @@
 }
 
 impl Default for CallLimits {
-    /// For answers of the store and of peers; the body may hold several of the store's largest values, encoded.
+    /// For answers of peers, of which the largest are a configuration and the list of runners.
     fn default() -> CallLimits {
-        CallLimits { answer: Millis(1_000), stall: Millis(1_000), total: Millis(10_000), body_bytes: 24 << 20 }
+        CallLimits { answer: Millis(1_000), stall: Millis(1_000), total: Millis(10_000), body_bytes: 4 << 20 }
     }
 }
