--- a/crates/router/src/http_client.rs
+++ b/crates/router/src/http_client.rs
@@ -13,8 +13,13 @@
 use teaselcroft_policy::EndKind;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// The largest reply of a server that is part of the system, in bytes.
 const MAX_REPLY_BYTES: u64 = 64 << 20;
 
+/// The largest reply of a runner, in bytes: a faulty one may send bytes without end.
+pub const MAX_RUNNER_REPLY_BYTES: u64 = 4 << 20;
+
 /// Why a request failed; tells whether the server may have acted on it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HttpError {
@@ -63,6 +68,8 @@
     pub body: Vec<u8>,
     /// Timeout for the head of the reply; `send` allows the same again for the body.
     pub timeout: Millis,
+    /// The largest body of the reply that `send` accepts, in bytes.
+    pub max_reply: u64,
 }
 
 /// A reply with its whole body.
@@ -95,6 +102,7 @@
             headers: Vec::new(),
             body: Vec::new(),
             timeout,
+            max_reply: MAX_REPLY_BYTES,
         }
     }
 
@@ -111,21 +119,24 @@
         with_timeout(limit, Err(HttpError::Silent), reply).await
     }
 
-    /// Sends the request and reads the whole reply, up to 64 MiB.
+    /// Sends the request and reads the whole reply, up to `max_reply`.
     ///
     /// # Errors
     ///
     /// The error says whether the request may have reached the server.
     pub async fn send(self) -> Result<HttpReply, HttpError> {
-        let limit = Duration::from(self.timeout);
+        let (limit, max_reply) = (Duration::from(self.timeout), self.max_reply);
         let mut response = self.open().await?;
         let version = response.header("x-version").and_then(|value| value.as_str().parse().ok());
         let mut body = Vec::new();
         let read = async {
-            let mut limited = response.take_body().take(MAX_REPLY_BYTES);
+            let mut limited = response.take_body().take(max_reply + 1);
             limited.read_to_end(&mut body).await.map_err(|_| HttpError::Broken)
         };
         with_timeout(limit, Err(HttpError::Silent), read).await?;
+        if body.len() as u64 > max_reply {
+            return Err(HttpError::Broken);
+        }
         Ok(HttpReply { status: response.status().into(), version: version.unwrap_or(0), body })
     }
 
--- a/crates/router/src/plain_service_http.rs
+++ b/crates/router/src/plain_service_http.rs
@@ -2,7 +2,7 @@
 
 use http_types::Method;
 
-use crate::http_client::{HttpCall, HttpError};
+use crate::http_client::{HttpCall, HttpError, MAX_RUNNER_REPLY_BYTES};
 use crate::plain_service::{PlainService, ServiceCall, ServiceReply};
 
 /// Sends calls with `POST /call`; request id, class and idempotency key are headers.
@@ -16,7 +16,8 @@
             headers.push(("idempotency-key", key.clone()));
         }
         let base = HttpCall::get(address, "/call".to_owned(), call.timeout);
-        let request = HttpCall { method: Method::Post, headers, body: call.body.clone(), ..base };
+        let max_reply = MAX_RUNNER_REPLY_BYTES;
+        let request = HttpCall { method: Method::Post, headers, body: call.body.clone(), max_reply, ..base };
         let reply = request.send().await?;
         Ok(ServiceReply { status: reply.status, body: reply.body })
     }
