Register anew by the store's own word on its era only

Cause: a daemon registered anew whenever the era that it had heard of, from a peer too, was later than that of its entry. A peer that states an era which the store never gives would have made it register without pause.

Change: what peers say only wakes the renewal; the era of the store's answer decides. Measured: the tests of restored stores and duties pass.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -216,17 +216,13 @@
 /// Renews the lease of an entry that was written in `era`, until the store may no longer have both; other errors are retried at
 /// the next renewal.
 async fn renew<D: Dialect, S: Store>(gateway: &Gateway<D>, store: &S, lease: LeaseId, era: Era) {
-    loop {
+    let is_lost = || store.era() > Some(era);
+    while !is_lost() {
         let risen = gateway.next_era();
         let pause = async {
             Timer::after(RENEWAL_INTERVAL.into()).await;
         };
-        if gateway.store_era() <= Some(era) {
-            or(pause, risen).await;
-        }
-        if gateway.store_era() > Some(era) {
-            return;
-        }
+        or(pause, risen).await;
         let renewed = store.renew(lease).await;
         gateway.note_store_era(store.era(), "store");
         if renewed == Err(StoreError::Missing) {
