Keep room for another peer beside those that announce a version often and do not send it

What callers saw: nothing yet that is known to come of it; a configuration that is not in force in time (CONFIG) would.

Cause: of the three fetches of a configuration that run at once all could go to one peer. A peer that is cut off one way is heard and cannot be asked. If it announces its version every 120 ms and another peer, in another zone, each second, each place that gets free is taken by the first one, until the store is reached again. A retry takes the room of what could succeed.

Evidence: on a virtual clock, with one such peer, the other one was not asked in a minute: with the source left out of the decision, as before, peers_that_announce_often_and_do_not_answer_do_not_keep_another_one_from_being_asked fails.

Change: fetches know which peers are asked and which failed since the last success. Such a peer may take two of the three places; the third is for another one, which waits only for the last peer that was asked for the first time. With up to three silent peers a version arrives within the 3 s of the users' bound, whenever the other peer announces it.

--- a/crates/gateway/src/peers/fetch_configuration.rs
+++ b/crates/gateway/src/peers/fetch_configuration.rs
@@ -33,7 +33,7 @@
     if !is_newer(gateway, version) {
         return;
     }
-    let is_due = fetching.lock().unwrap_or_else(PoisonError::into_inner).try_begin(version, gateway.now());
+    let is_due = fetching.lock().unwrap_or_else(PoisonError::into_inner).try_begin(source, version, gateway.now());
     if !is_due {
         return;
     }
@@ -42,7 +42,7 @@
     let fetch_task = async move {
         Timer::after(delay.into()).await;
         run_contained(&gateway, "configuration fetch", fetch(&gateway, source, version, &fetching)).await;
-        fetching.lock().unwrap_or_else(PoisonError::into_inner).end(!is_newer(&gateway, version));
+        fetching.lock().unwrap_or_else(PoisonError::into_inner).end(source, !is_newer(&gateway, version));
     };
     executor.spawn(fetch_task).detach();
 }
--- a/crates/gateway/tests/config_fetches.rs
+++ b/crates/gateway/tests/config_fetches.rs
@@ -1,5 +1,7 @@
 //! Fetching a newer configuration from peers, some of which do not answer, on a virtual clock.
 
+use std::net::SocketAddr;
+
 use teaselcroft_gateway::ConfigFetches;
 use teaselcroft_parts::Millis;
 
@@ -12,32 +14,39 @@
 /// The time between heartbeats of any peer: 90 daemons, each of which sends one in 2 s.
 const HEARTBEAT_GAP: Millis = Millis(20);
 
+const PEERS: usize = 90;
+
 const VERSION: u64 = 118;
 
+fn peer(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number / 256) as u8, (number % 256) as u8], 7_104))
+}
+
 /// When a daemon has the version that peers announce, if the first `choked` peers that it asks do not answer, and the
 /// most peers that it asked at once.
 fn fetch(choked: usize) -> (Millis, usize) {
     let mut fetches = ConfigFetches::default();
-    let mut ends: Vec<(Millis, bool)> = Vec::new();
+    let mut ends: Vec<(Millis, SocketAddr, bool)> = Vec::new();
     let (mut asked, mut most) = (0, 0);
     let mut now = Millis(0);
-    loop {
-        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now);
+    for source in (0..PEERS).map(peer).cycle() {
+        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, ..)| *at <= now);
         ends = running;
-        for (_, is_answer) in ended {
+        for (_, asked, is_answer) in ended {
             if is_answer {
                 return (now, most);
             }
-            fetches.end(false);
+            fetches.end(asked, false);
         }
-        if fetches.try_begin(VERSION, now) {
+        if fetches.try_begin(source, VERSION, now) {
             asked += 1;
             let is_answer = asked > choked;
-            ends.push((now + if is_answer { ANSWER_TIME } else { FETCH_TIMEOUT }, is_answer));
+            ends.push((now + if is_answer { ANSWER_TIME } else { FETCH_TIMEOUT }, source, is_answer));
             most = most.max(ends.len());
         }
         now = now + HEARTBEAT_GAP;
     }
+    unreachable!("peers announce the version without end")
 }
 
 /// A configuration with 600 routes more goes to 90 daemons at once; the small VMs that announce it first are choked.
@@ -71,7 +80,8 @@
         if !left.is_empty() {
             fetches.progressed(now);
         }
-        if now.0.is_multiple_of(HEARTBEAT_GAP.0) && fetches.try_begin(VERSION, now) {
+        let source = peer((now.0 / HEARTBEAT_GAP.0) as usize % PEERS);
+        if now.0.is_multiple_of(HEARTBEAT_GAP.0) && fetches.try_begin(source, VERSION, now) {
             left.push(alone.0 as f64);
             most = most.max(left.len());
         }
@@ -94,36 +104,37 @@
 #[test]
 fn newer_versions_do_not_starve_the_transfer_that_runs() {
     let mut fetches = ConfigFetches::default();
-    assert!(fetches.try_begin(1, Millis(0)));
+    assert!(fetches.try_begin(peer(0), 1, Millis(0)));
 
     let begun = (1..=8).filter(|step| {
         let now = Millis(step * 100);
         fetches.progressed(now);
-        fetches.try_begin(1 + step, now)
+        fetches.try_begin(peer(1), 1 + step, now)
     });
 
     assert_eq!(begun.count(), 0);
-    fetches.end(true);
-    assert!(fetches.try_begin(9, Millis(900)), "once the transfer has ended");
-    assert!(!fetches.try_begin(8, Millis(2_000)), "an older version than the one that is fetched");
+    fetches.end(peer(0), true);
+    assert!(fetches.try_begin(peer(0), 9, Millis(900)), "once the transfer has ended");
+    assert!(!fetches.try_begin(peer(1), 8, Millis(2_000)), "an older version than the one that is fetched");
 }
 
 /// When a daemon has a version if each peer's answer begins after `latency`, since its own link is nearly full.
 fn fetch_over_full_link(latency: Millis) -> Millis {
     let mut fetches = ConfigFetches::default();
-    let mut ends: Vec<(Millis, bool)> = Vec::new();
-    for now in (0..60_000).step_by(HEARTBEAT_GAP.0 as usize).map(Millis) {
-        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now);
+    let mut ends: Vec<(Millis, SocketAddr, bool)> = Vec::new();
+    let sources = (0..PEERS).map(peer).cycle();
+    for (now, source) in (0..60_000).step_by(HEARTBEAT_GAP.0 as usize).map(Millis).zip(sources) {
+        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, ..)| *at <= now);
         ends = running;
-        for (_, is_answer) in ended {
+        for (_, asked, is_answer) in ended {
             if is_answer {
                 return now;
             }
-            fetches.end(false);
+            fetches.end(asked, false);
         }
-        if fetches.try_begin(VERSION, now) {
+        if fetches.try_begin(source, VERSION, now) {
             let patience = fetches.patience();
-            ends.push((now + patience.min(latency), latency <= patience));
+            ends.push((now + patience.min(latency), source, latency <= patience));
         }
     }
     panic!("answers after {latency}: none is waited for")
@@ -137,14 +148,52 @@
     assert!(took[0] <= 1_220 && took[1] <= 1_520 && took[2] <= 5_000, "{took:?}");
 }
 
+/// When a daemon has a version that `silent` peers announce every 120 ms and never send, and another one, which answers, each
+/// second, for the first time after `first`.
+fn fetch_beside_silent_peers(silent: usize, first: Millis) -> Millis {
+    let answering = peer(silent);
+    let mut fetches = ConfigFetches::default();
+    let mut ends: Vec<(Millis, SocketAddr)> = Vec::new();
+    for now in (0..60_000).step_by(10).map(Millis) {
+        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now);
+        ends = running;
+        for (_, asked) in ended {
+            if asked == answering {
+                return now;
+            }
+            fetches.end(asked, false);
+        }
+        let near = (0..silent).filter(|number| now.0 % 120 == 10 * *number as u64).map(peer);
+        let far = (now.0 % 1_000 == first.0).then_some(answering);
+        for source in near.chain(far) {
+            if fetches.try_begin(source, VERSION, now) {
+                ends.push((now + if source == answering { ANSWER_TIME } else { fetches.patience() }, source));
+            }
+        }
+    }
+    panic!("{silent} silent: the peer that answers is never asked")
+}
+
+#[test]
+fn peers_that_announce_often_and_do_not_answer_do_not_keep_another_one_from_being_asked() {
+    // The users' bound on a configuration in a fleet of 90.
+    let bound = Millis(3_000);
+
+    for (silent, first) in (1..=3).flat_map(|silent| (0..1_000).step_by(70).map(move |first| (silent, Millis(first)))) {
+        let took = fetch_beside_silent_peers(silent, first);
+
+        assert!(took < bound, "{silent} silent, first announced after {first}: {took}");
+    }
+}
+
 #[test]
 fn each_version_is_fetched_by_itself_and_again_after_a_failure() {
     let mut fetches = ConfigFetches::default();
 
-    assert!(fetches.try_begin(1, Millis(0)));
-    assert!(!fetches.try_begin(1, Millis(10)));
-    assert!(fetches.try_begin(2, Millis(10)), "another version");
-    fetches.end(false);
-    fetches.end(false);
-    assert!(fetches.try_begin(1, Millis(20)), "after a failure");
+    assert!(fetches.try_begin(peer(0), 1, Millis(0)));
+    assert!(!fetches.try_begin(peer(1), 1, Millis(10)));
+    assert!(fetches.try_begin(peer(1), 2, Millis(10)), "another version");
+    fetches.end(peer(0), false);
+    fetches.end(peer(1), false);
+    assert!(fetches.try_begin(peer(0), 1, Millis(20)), "after a failure");
 }
