Do not repeat orders of runners that a restored store may have lost the successors of

What callers saw: nothing that is known; fewer runners for the time of a boot, and refusals, would come of it. Only deployments that order runners (duty autoscale) are concerned.

Cause: who claims the duties sends the stored orders again, since its predecessor may have died before it sent them. When the store comes back from an older copy, every holder claims anew, and the stored orders are those of the copy: they undo what was ordered since. An order from before a burst takes the runners away that the burst got.

Change: stored orders carry their holder's token, which holds the store's era. Those of an earlier era than the new holder's are not sent again: the runners that are there count as ordered, as at a first start, and the target and the learned capacity stay. In the scaling model a successor without the last orders keeps all runners, and attainment stays above 0.9999.

--- a/crates/gateway/src/duties/scaling_duty.rs
+++ b/crates/gateway/src/duties/scaling_duty.rs
@@ -73,6 +73,7 @@
                             None
                         })
                         .unwrap_or_default();
+                    self.stored.forget_outdated(hold.token());
                     return;
                 }
                 Err(error) => log::debug!("the stored orders cannot be read: {error}"),
@@ -107,7 +108,8 @@
             }
             let record = self.stored.services.get(&name);
             let service = self.services.entry(name.clone()).or_insert_with(|| {
-                log_event!(Event::ScalingResumed, service = name, token = token, stored = record.is_some());
+                let is_stored = record.is_some_and(|record| !record.orders.is_empty());
+                log_event!(Event::ScalingResumed, service = name, token = token, stored = is_stored);
                 ScaledService::new(rule.clone(), record, now)
             });
             let demand = self.gateway.demand().take(&name, MAX_DEMAND_AGE, now);
@@ -177,13 +179,13 @@
     }
 
     /// The orders of all services, as a successor needs them.
-    fn record(&self) -> StoredOrders {
+    fn record(&self, token: FencingToken) -> StoredOrders {
         // Services that are not decided yet, for instance before the runners are known, keep their records.
         let mut services = self.stored.services.clone();
         let current: Vec<(ModelName, ScalingRecord)> =
             self.services.iter().map(|(name, service)| (name.clone(), service.record())).collect();
         services.extend(current);
-        StoredOrders { services }
+        StoredOrders { token: token.0, services }
     }
 
     fn apply(&mut self, name: &ModelName, order: &ZoneOrder, result: OrderResult) {
@@ -234,7 +236,7 @@
         if orders.is_empty() {
             return;
         }
-        let record = self.record();
+        let record = self.record(hold.token());
         if let Err(error) = self.store(hold, &record).await {
             self.failed_at = Some(self.gateway.now());
             log_event!(Event::OrdersUnstored, orders = orders.len(), reason = error);
--- a/crates/policy/tests/scaling/main.rs
+++ b/crates/policy/tests/scaling/main.rs
@@ -6,11 +6,12 @@
 mod model;
 mod provider;
 
+use std::collections::BTreeMap;
 use std::f64::consts::TAU;
 
 use model::{Control, Model, rule, scaler, zone};
 use teaselcroft_parts::Millis;
-use teaselcroft_policy::scaling::{OrderResult, Scaler, ScalingSettings, ZoneOrder, ZoneRunners};
+use teaselcroft_policy::scaling::{OrderResult, Scaler, ScalingRecord, ScalingSettings, ZoneOrder, ZoneRunners};
 use teaselcroft_policy::{RunnerKind, ScalingRule};
 
 /// The price of preemptible runners.
@@ -190,6 +191,23 @@
     );
 }
 
+#[test]
+fn a_successor_without_the_last_orders_keeps_the_runners_that_they_brought() {
+    let mut model = Model::new(scaler(CHEAP));
+    model.run(200_000, waves);
+    let Control::Scaler(first) = &model.control else { unreachable!() };
+    let record = ScalingRecord { orders: BTreeMap::new(), ..first.record() };
+    let count = |model: &Model| model.runners().values().map(|zone| zone.on_demand + zone.preemptible).sum::<u32>();
+    let before = count(&model);
+
+    model.control = Control::Scaler(Box::new(Scaler::resume(rule(CHEAP), ScalingSettings::default(), &record)));
+    model.run(215_000, waves);
+
+    assert!(count(&model) >= before, "{} of {before}", count(&model));
+    model.run(400_000, waves);
+    assert!(model.outcome.attainment() > 0.9999);
+}
+
 #[test]
 fn orders_stay_still_in_an_hour_of_noise() {
     let mut model = Model::new(scaler(CHEAP));
