Write reports of usage again that the store lost, so that no other counts follow

Cause: a report is written to the store before it is sent, and whoever holds the duties next sends what the store has. A store that comes back from a copy older than that record has none; the next holder counts the window anew, from the statements that reached it, and gets another result.

Change: every daemon keeps the reports that it wrote or read as a holder, for the ten windows for which the store does, and when the era rises writes them again, each unless the store has one for that window. The next holder begins to act seconds later; if it is faster, its record wins and the former one is not written. Event 698 states how many were written.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -35,7 +35,7 @@
 pub use duty_task::{DutyTask, run_duty};
 pub use holder_view::{Announcement, HolderView};
 pub use scaling_duty::{ORDERS_KEY, ScalingDuty, ScalingGauges, StoredOrders, check_zones};
-use usage_duty::UsageDuty;
+use usage_duty::{UsageDuty, rewrite_reports};
 
 /// The number of daemons that may become the holder, in the order of [`crate::Roster::leader_candidates`].
 pub const CANDIDATES: usize = 3;
@@ -53,6 +53,7 @@
     let (released_sender, released) = async_channel::bounded(1);
     if gateway.has_usage() {
         spawn_essential(executor, "usage duty", run_duty(access.clone(), UsageDuty::new(gateway.clone())));
+        spawn_essential(executor, "usage records", rewrite_reports(gateway.clone(), access.clone()));
     }
     if gateway.settings.duties.api_for(Duty::Autoscale).is_some() {
         spawn_essential(executor, "scaling duty", run_duty(access.clone(), ScalingDuty::new(gateway.clone())));
--- a/crates/gateway/src/duties/usage_duty.rs
+++ b/crates/gateway/src/duties/usage_duty.rs
@@ -1,5 +1,6 @@
 //! The duty of reporting how many requests of each customer began to run.
 
+mod rewrite;
 mod usage_store;
 
 use std::collections::BTreeSet;
@@ -18,6 +19,7 @@
 use crate::store::{Store, StoreError};
 use crate::usage::UsageRecord;
 use crate::{ControlError, Event, log_event};
+pub use rewrite::rewrite_reports;
 use usage_store::{read_usage, record_of, write_checkpoint, write_record};
 
 /// The time between two looks at what is due.
@@ -79,6 +81,9 @@
         };
         self.estimated =
             records.iter().filter(|(_, is_estimated)| *is_estimated).map(|(report, _)| report.window).collect();
+        for (report, is_estimated) in &records {
+            self.note_written(report, *is_estimated);
+        }
         let reports: Vec<UsageReport> = records.into_iter().map(|(report, _)| report).collect();
         let (count, now) = (reports.len(), boot_time());
         let journal = self.gateway.usage().map(|mut usage| {
@@ -103,14 +108,20 @@
         }
         let is_estimated = self.estimated.contains(&window);
         let error = match write_record(hold, &report, is_estimated).await {
-            Ok(_) => return journal.recorded(report),
+            Ok(_) => {
+                self.note_written(&report, is_estimated);
+                return journal.recorded(report);
+            }
             Err(error) => error,
         };
         if error == DutyError::Store(StoreError::Conflict)
             && let Ok(Some(item)) = hold.get(&UsageRecord::key(window)).await
         {
             match record_of(window, &item.value) {
-                Ok((stored, _)) => return journal.recorded(stored),
+                Ok((stored, is_estimated)) => {
+                    self.note_written(&stored, is_estimated);
+                    return journal.recorded(stored);
+                }
                 Err(reason) => {
                     log_event!(Event::UsageNotRecorded, window = window, reason = reason, repeated = false);
                     return journal.rejected(window);
@@ -121,6 +132,14 @@
         journal.failed(window, boot_time());
     }
 
+    /// Notes a report that the store has.
+    fn note_written(&self, report: &UsageReport, is_estimated: bool) {
+        let record = UsageRecord { is_estimated, ..UsageRecord::from(report) };
+        if let Some(mut usage) = self.gateway.usage() {
+            usage.written.insert(report.window, record);
+        }
+    }
+
     fn log_total(&mut self, window: UsageWindow, total: &UsageTotal) {
         let after = self.since_end(window);
         let requests: u64 = total.counts.values().sum();
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -125,6 +125,8 @@
     UsageGivenUp = 696;
     /// The time on which the daemons agree moved against the monotonic clock; states from how many clocks it is taken.
     AgreedTimeMoved = 697;
+    /// The store came back from an older copy; states how many reports of usage it had lost and has again.
+    UsageRewritten = 698;
     /// A service's rule for ordering runners cannot be used; the service keeps the runners that it has.
     ScalingInvalid = 700;
     /// Runners are ordered; states the figures that decided it, in runners.
--- a/crates/gateway/src/usage/tracker.rs
+++ b/crates/gateway/src/usage/tracker.rs
@@ -1,12 +1,14 @@
 //! What a daemon knows of usage: its own counts, those that others stated to it, and the agreed time.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use teaselcroft_parts::{
     AgreedClock, CustomerName, DaemonName, Incarnation, Member, Millis, UnixMs, UsageCollector, UsageCounter,
-    UsageSettings, UsageStatement,
+    UsageSettings, UsageStatement, UsageWindow,
 };
 
+use super::UsageRecord;
 use crate::{DutySettings, Event, log_event};
 
 /// A smaller change of the agreed time is not logged.
@@ -20,6 +22,8 @@
     counter: UsageCounter,
     /// What this and other daemons stated to this one; the duty holder and the next candidate have all.
     pub collector: UsageCollector,
+    /// The reports that this daemon wrote to the store or read from it as the duty holder. They are never changed.
+    pub written: BTreeMap<UsageWindow, UsageRecord>,
     receivers: Vec<SocketAddr>,
 }
 
@@ -35,6 +39,7 @@
             clock,
             counter: UsageCounter::new(usage.clone(), member),
             collector: UsageCollector::new(usage),
+            written: BTreeMap::new(),
             receivers: Vec::new(),
         }
     }
@@ -75,7 +80,9 @@
     pub fn statement(&mut self, receivers: &[SocketAddr], daemons: usize, now: Millis) -> Option<UsageStatement> {
         let unix = self.unix(now);
         self.collector.set_interval(UsageSettings::interval_for(daemons));
-        self.collector.forget_before(self.collector.settings().oldest(unix));
+        let oldest = self.collector.settings().oldest(unix);
+        self.collector.forget_before(oldest);
+        self.written.retain(|window, _| *window >= oldest);
         let is_new = receivers.iter().any(|receiver| !self.receivers.contains(receiver));
         self.receivers = receivers.to_vec();
         self.counter.statement(unix, is_new)
