--- a/crates/gateway/tests/config_fetches.rs
+++ b/crates/gateway/tests/config_fetches.rs
@@ -16,37 +16,60 @@
 
 const PEERS: usize = 90;
 
+/// The time between two steps of a simulation, in milliseconds.
+const STEP: u64 = 10;
+
 const VERSION: u64 = 118;
 
 fn peer(number: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (number / 256) as u8, (number % 256) as u8], 7_104))
 }
 
-/// When a daemon has the version that peers announce, if the first `choked` peers that it asks do not answer, and the
-/// most peers that it asked at once.
-fn fetch(choked: usize) -> (Millis, usize) {
+/// How long a fetch takes, and whether it brings the configuration.
+type Outcome = (Millis, bool);
+
+/// When a daemon has the version that `announcers` announce at a time, and the most peers that it asked at once; `outcome` is that
+/// of a fetch from a peer that is given up after the stated time.
+fn fetch(
+    announcers: impl Fn(Millis) -> Vec<SocketAddr>,
+    mut outcome: impl FnMut(SocketAddr, Millis) -> Outcome,
+) -> (Millis, usize) {
     let mut fetches = ConfigFetches::default();
     let mut ends: Vec<(Millis, SocketAddr, bool)> = Vec::new();
-    let (mut asked, mut most) = (0, 0);
-    let mut now = Millis(0);
-    for source in (0..PEERS).map(peer).cycle() {
+    let mut most = 0;
+    for now in (0..60_000).step_by(STEP as usize).map(Millis) {
         let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, ..)| *at <= now);
         ends = running;
-        for (_, asked, is_answer) in ended {
-            if is_answer {
+        for (_, source, is_done) in ended {
+            if is_done {
                 return (now, most);
             }
-            fetches.end(asked, false);
+            fetches.end(source, false);
         }
-        if fetches.try_begin(source, VERSION, now) {
-            asked += 1;
-            let is_answer = asked > choked;
-            ends.push((now + if is_answer { ANSWER_TIME } else { FETCH_TIMEOUT }, source, is_answer));
-            most = most.max(ends.len());
+        for source in announcers(now) {
+            if fetches.try_begin(source, VERSION, now) {
+                let (took, is_done) = outcome(source, fetches.patience());
+                ends.push((now + took, source, is_done));
+                most = most.max(ends.len());
+            }
         }
-        now = now + HEARTBEAT_GAP;
     }
-    unreachable!("peers announce the version without end")
+    panic!("no peer that would send the configuration is asked and waited for in a minute")
+}
+
+/// The peers of a fleet of 90, each of which is heard in turn.
+fn announced_in_turn(now: Millis) -> Vec<SocketAddr> {
+    let is_heard = now.0.is_multiple_of(HEARTBEAT_GAP.0);
+    is_heard.then(|| peer((now.0 / HEARTBEAT_GAP.0) as usize % PEERS)).into_iter().collect()
+}
+
+/// When a daemon has the version, if the first `choked` peers that it asks do not answer, and the most that it asked at once.
+fn fetch_beside_choked_peers(choked: usize) -> (Millis, usize) {
+    let mut asked = 0;
+    fetch(announced_in_turn, |_, _| {
+        asked += 1;
+        if asked > choked { (ANSWER_TIME, true) } else { (FETCH_TIMEOUT, false) }
+    })
 }
 
 /// A configuration with 600 routes more goes to 90 daemons at once; the small VMs that announce it first are choked.
@@ -54,20 +77,19 @@
 fn peers_that_do_not_answer_delay_a_configuration_by_less_than_a_second_each_two() {
     let bound = Millis(1_000);
 
-    assert_eq!(fetch(0), (ANSWER_TIME, 1), "one peer is asked if it answers");
+    assert_eq!(fetch_beside_choked_peers(0), (ANSWER_TIME, 1), "one peer is asked if it answers");
     for choked in 1..=2 {
-        let (took, most) = fetch(choked);
+        let (took, most) = fetch_beside_choked_peers(choked);
         assert!(took <= bound && most <= 3, "{choked} choked: {took}, {most} at once");
     }
     // The users' bound on a configuration in a fleet of 90 is 3 s from its acknowledgement.
-    let (took, most) = fetch(5);
+    let (took, most) = fetch_beside_choked_peers(5);
     assert!(took < Millis(2_500) && most <= 3, "{took}, {most} at once");
 }
 
 /// When a daemon has a version that takes `alone` over its link if nothing else does, and the most transfers at once. All
 /// transfers share the link, and each receives bytes in every step.
 fn fetch_over_narrow_link(alone: Millis) -> (Millis, usize) {
-    const STEP: u64 = 10;
     let mut fetches = ConfigFetches::default();
     let mut left: Vec<f64> = Vec::new();
     let mut most = 0;
@@ -120,24 +142,7 @@
 
 /// When a daemon has a version if each peer's answer begins after `latency`, since its own link is nearly full.
 fn fetch_over_full_link(latency: Millis) -> Millis {
-    let mut fetches = ConfigFetches::default();
-    let mut ends: Vec<(Millis, SocketAddr, bool)> = Vec::new();
-    let sources = (0..PEERS).map(peer).cycle();
-    for (now, source) in (0..60_000).step_by(HEARTBEAT_GAP.0 as usize).map(Millis).zip(sources) {
-        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, ..)| *at <= now);
-        ends = running;
-        for (_, asked, is_answer) in ended {
-            if is_answer {
-                return now;
-            }
-            fetches.end(asked, false);
-        }
-        if fetches.try_begin(source, VERSION, now) {
-            let patience = fetches.patience();
-            ends.push((now + patience.min(latency), source, latency <= patience));
-        }
-    }
-    panic!("answers after {latency}: none is waited for")
+    fetch(announced_in_turn, |_, patience| (patience.min(latency), latency <= patience)).0
 }
 
 #[test]
@@ -152,26 +157,11 @@
 /// second, for the first time after `first`.
 fn fetch_beside_silent_peers(silent: usize, first: Millis) -> Millis {
     let answering = peer(silent);
-    let mut fetches = ConfigFetches::default();
-    let mut ends: Vec<(Millis, SocketAddr)> = Vec::new();
-    for now in (0..60_000).step_by(10).map(Millis) {
-        let (ended, running): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(at, _)| *at <= now);
-        ends = running;
-        for (_, asked) in ended {
-            if asked == answering {
-                return now;
-            }
-            fetches.end(asked, false);
-        }
-        let near = (0..silent).filter(|number| now.0 % 120 == 10 * *number as u64).map(peer);
-        let far = (now.0 % 1_000 == first.0).then_some(answering);
-        for source in near.chain(far) {
-            if fetches.try_begin(source, VERSION, now) {
-                ends.push((now + if source == answering { ANSWER_TIME } else { fetches.patience() }, source));
-            }
-        }
-    }
-    panic!("{silent} silent: the peer that answers is never asked")
+    let announcers = |now: Millis| {
+        let near = (0..silent).filter(|number| now.0 % 120 == STEP * *number as u64).map(peer);
+        near.chain((now.0 % 1_000 == first.0).then_some(answering)).collect()
+    };
+    fetch(announcers, |source, patience| if source == answering { (ANSWER_TIME, true) } else { (patience, false) }).0
 }
 
 #[test]
