--- a/crates/gateway/src/config_fetches.rs
+++ b/crates/gateway/src/config_fetches.rs
@@ -107,9 +107,10 @@
             self.failures = self.failures.saturating_add(1);
             self.failed.insert(source);
         }
-        if let Some(running) = &mut self.running {
-            let ended = running.sources.iter().position(|asked| *asked == source);
-            ended.map(|index| running.sources.swap_remove(index));
+        if let Some(running) = &mut self.running
+            && let Some(ended) = running.sources.iter().position(|asked| *asked == source)
+        {
+            running.sources.swap_remove(ended);
         }
         self.running.take_if(|running| running.sources.is_empty());
     }
--- a/crates/gateway/src/duties/usage_duty/rewrite.rs
+++ b/crates/gateway/src/duties/usage_duty/rewrite.rs
@@ -31,15 +31,15 @@
     loop {
         risen.await;
         risen = gateway.next_era();
-        rewrite(&gateway, access.store()).await;
+        rewrite_all(&gateway, access.store()).await;
     }
 }
 
-async fn rewrite<D: Dialect, S: Store>(gateway: &Gateway<D>, store: &S) {
+async fn rewrite_all<D: Dialect, S: Store>(gateway: &Gateway<D>, store: &S) {
     let written = gateway.usage().map(|usage| usage.written.clone()).unwrap_or_default();
     let mut count = 0;
     for (window, record) in written {
-        count += u32::from(rewrite_one(gateway, store, window, &record).await);
+        count += u32::from(rewrite_report(gateway, store, window, &record).await);
     }
     if count > 0 {
         log_event!(Event::UsageRewritten, records = count);
@@ -47,7 +47,7 @@
 }
 
 /// Returns whether the store had lost the report and has it again.
-async fn rewrite_one<D: Dialect, S: Store>(
+async fn rewrite_report<D: Dialect, S: Store>(
     gateway: &Gateway<D>,
     store: &S,
     window: UsageWindow,
