review: a caller that pauses to read loses its stream

Cause: TCP_USER_TIMEOUT on callers' connections also bounds the time for which a caller's window may stay closed.

--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -21,6 +21,16 @@
     pub deadline_ms: u64,
 }
 
+/// A request's bytes.
+pub fn encode(request: &Request) -> String {
+    let Request { method, path, id, fields, body, deadline_ms } = request;
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
+         X-Key: {KEY}\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// Sends a request on a new connection and reads its answer; returns the status, 0 if none came.
 pub fn send(front: SocketAddr, request: &Request, record: &Record) -> u16 {
     exchange(front, request, record).status()
@@ -28,12 +38,8 @@
 
 /// The same, but returns the answer, which is empty if none came.
 pub fn exchange(front: SocketAddr, request: &Request, record: &Record) -> Message {
-    let Request { method, path, id, fields, body, deadline_ms } = request;
-    let text = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
-         X-Key: {KEY}\r\n{fields}Content-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
+    let Request { method, path, id, deadline_ms, .. } = request;
+    let text = encode(request);
     record.note(format!("client   {id} sends {method} {path} to {front}"));
     let Ok(stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
         record.note(format!("client   {id} has no connection"));
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod restart;
 mod runner;
+mod slow_reader;
 mod store;
 
 use std::path::PathBuf;
@@ -37,6 +38,7 @@
     let finding = match case.as_str() {
         "error-answers" => error_answers::play(root, &record, has_trouble),
         "paused-stream" => paused_stream::play(root, &record, has_trouble),
+        "slow-reader" => slow_reader::play(root, &record, has_trouble),
         "restart" => restart::play(root, &record, has_trouble),
         "silent-watch" => quiet_leave::play_silence(root, &record, has_trouble),
         "cut-watch" => quiet_leave::play_cuts(root, &record, has_trouble),
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -32,6 +32,8 @@
     pub error_share: AtomicU32,
     /// The time that a plain request takes.
     pub work: Duration,
+    /// The bytes of an event's text beside its number.
+    pub event_bytes: usize,
     /// The requests that a runner serves at once, if not as many as on the small sites.
     pub slots: Option<u32>,
     pub arrivals: Mutex<Vec<Arrival>>,
@@ -309,7 +311,8 @@
             if !self.wait_while_preempted(peer, id) {
                 return false;
             }
-            let event = format!("id: {number}\ndata: token {number}\n\n");
+            let text = "x".repeat(self.state.behavior.event_bytes);
+            let event = format!("id: {number}\ndata: token {number} {text}\n\n");
             if !peer.write(&format!("{:x}\r\n{event}\r\n", event.len())) {
                 return false;
             }
