review: a request makes runners go dark that come back under other ids

Cause: the next start of a runner is looked for under its name only, and removed entries count as proof only if at most two vanish within 2.5 s.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../play-2.sh" cut-watch "$here"
+exec "$here/../play-2.sh" restart "$here"
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 //! if it held, and with 2 if the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod client;
+mod dark_starts;
 mod error_answers;
 mod fleet;
 mod http;
@@ -39,6 +40,7 @@
         "error-answers" => error_answers::play(root, &record, has_trouble),
         "paused-stream" => paused_stream::play(root, &record, has_trouble),
         "slow-reader" => slow_reader::play(root, &record, has_trouble),
+        "dark-starts" => dark_starts::play(root, &record, has_trouble),
         "restart" => restart::play(root, &record, has_trouble),
         "silent-watch" => quiet_leave::play_silence(root, &record, has_trouble),
         "cut-watch" => quiet_leave::play_cuts(root, &record, has_trouble),
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -10,6 +10,9 @@
 use crate::record::Record;
 use crate::store::Store;
 
+/// Three heartbeats of the small sites, after which a silent runner's entry is removed.
+const ENTRY_TTL: Duration = Duration::from_millis(3_600);
+
 /// The prompt tokens that an engine of the small sites reads in a second.
 const TOKENS_READ_PER_S: f64 = 54_600.0;
 
@@ -28,6 +31,8 @@
     pub crashing: String,
     /// How long a runner is down after a crash.
     pub down: Duration,
+    /// Whether a runner that crashes goes dark: it accepts nothing more, and is silent on its open connections.
+    pub goes_dark: bool,
     /// The share of requests, in hundredths, that runners fail with a 500 before they begin with them.
     pub error_share: AtomicU32,
     /// The time that a plain request takes.
@@ -205,6 +210,9 @@
         self.state
             .record
             .note(format!("runner   {} crashes as it begins with {id}; {lost} others are lost", self.name()));
+        if self.state.behavior.goes_dark {
+            return self.go_dark();
+        }
         self.go_down();
         let runner = self.clone();
         thread::spawn(move || {
@@ -222,6 +230,25 @@
         });
     }
 
+    /// Accepts nothing more, and says nothing more, also not to the store. Its next start has another id, and the entry of this one
+    /// is removed after three heartbeats of silence.
+    fn go_dark(&self) {
+        self.state.is_down.store(true, Ordering::SeqCst);
+        let runner = self.clone();
+        thread::spawn(move || {
+            let State { name, service, address, behavior, store, record, .. } = &*runner.state;
+            thread::sleep(behavior.down);
+            let (base, start) = name.rsplit_once('.').unwrap_or((name, "0"));
+            let next = format!("{base}.{}", start.parse::<u32>().unwrap_or(0) + 1);
+            Runner::start(&address.ip().to_string(), &next, service, behavior, store, record);
+            record.note(format!("runner   {next} starts in place of {name}"));
+            thread::sleep(ENTRY_TTL.saturating_sub(behavior.down));
+            store.remove(&format!("servers/{name}"));
+            record.note(format!("store    the entry of {name} has lapsed"));
+            runner.go_down();
+        });
+    }
+
     fn listen(&self, listener: TcpListener) {
         listener.set_nonblocking(true).expect("the option is known");
         while !self.state.is_down.load(Ordering::SeqCst) {
@@ -241,7 +268,11 @@
 
     fn serve(&self, mut peer: Peer) {
         while let Some(request) = peer.read() {
-            if self.state.is_down.load(Ordering::SeqCst) || !self.answer(&mut peer, &request) {
+            if self.state.is_down.load(Ordering::SeqCst) {
+                while self.state.behavior.goes_dark && peer.read().is_some() {}
+                return;
+            }
+            if !self.answer(&mut peer, &request) {
                 return;
             }
         }
@@ -277,6 +308,10 @@
         if is_crashing {
             thread::sleep(Duration::from_millis(40));
             self.crash(&id);
+            if state.behavior.goes_dark {
+                // Says nothing and reads on, until the other side closes the connection.
+                while peer.read().is_some() {}
+            }
             return false;
         }
         state.running.fetch_add(1, Ordering::SeqCst);
@@ -288,6 +323,11 @@
             sent
         } else {
             thread::sleep(state.behavior.work);
+            if state.is_down.load(Ordering::SeqCst) {
+                state.running.fetch_sub(1, Ordering::SeqCst);
+                while state.behavior.goes_dark && peer.read().is_some() {}
+                return false;
+            }
             let body = format!("answer to {id}\n");
             peer.write(&(head("200 OK") + &format!("Content-Length: {}\r\n\r\n{body}", body.len())))
         };
