Leave a silent runner only for one that is connected

Cause: a timer ended the attempt, and only afterwards placement and the retry budget were asked. If no runner was free or no retry left, nothing remained to relay. Change: after the time of silence a successor is looked for, with a retry left and a connection open, before the silent runner is left; otherwise its answer is waited for and the search repeated every 250 ms. The same for answers that have not begun. Event 657 says why a silent runner is kept. Why it works: nothing that may still answer is given up before its replacement is known. Stalled streams end at the deadline or with their caller, and move as soon as a runner is free (tests).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod run_count;
 mod statements;
+mod successor;
 
 use std::iter;
 use std::sync::Arc;
@@ -27,6 +28,7 @@
 use crate::{Event, Prompt, log_event};
 use attempt::AttemptOutcome;
 use pending_attempt::PendingAttempt;
+use successor::Successor;
 
 /// Failed connection attempts after which a request is given up.
 const MAX_UNREACHABLE: u32 = 4;
@@ -96,6 +98,8 @@
     events: EventStream,
     /// The attempt that waits for its answer.
     pending: Option<PendingAttempt<'a, D>>,
+    /// The runner that takes over from a silent one.
+    successor: Option<Successor>,
     /// Attempts in which the runner may have executed the request.
     executions: u32,
     unreachable: u32,
@@ -119,6 +123,7 @@
             head: None,
             events,
             pending: None,
+            successor: None,
             executions: 0,
             unreachable: 0,
             rejections: 0,
@@ -133,16 +138,19 @@
         self.gateway.retries().count_request(&self.job.service, self.gateway.now());
         self.wait_for_runners().await;
         loop {
-            let placement = match place(self.gateway, &self.job.placement_request()).await {
-                Choice::Placed(placement) => placement,
-                Choice::Full => return self.give_up("runners are full", RETRY_AFTER_FULL).await,
-                Choice::NoRunner => return self.give_up("no runner takes it", RETRY_AFTER_UNREACHABLE).await,
+            let (placement, connection) = match self.successor.take() {
+                Some(next) => (next.placement, Some((next.connection, next.is_kept))),
+                None => match place(self.gateway, &self.job.placement_request()).await {
+                    Choice::Placed(placement) => (placement, None),
+                    Choice::Full => return self.give_up("runners are full", RETRY_AFTER_FULL).await,
+                    Choice::NoRunner => return self.give_up("no runner takes it", RETRY_AFTER_UNREACHABLE).await,
+                },
             };
             if self.is_blocked() {
                 return self.give_up("it crashed runners", RETRY_AFTER_CRASHES).await;
             }
             self.log_placement(&placement);
-            let outcome = self.attempt(&placement).await;
+            let outcome = self.attempt(&placement, connection).await;
             if let Some(pending) = self.pending.take() {
                 pending.end();
             }
@@ -170,7 +178,7 @@
             AttemptOutcome::CallerGone
             | AttemptOutcome::Unreachable
             | AttemptOutcome::NotExecuted
-            | AttemptOutcome::TimedOut
+            | AttemptOutcome::Silent(_)
             | AttemptOutcome::Withdrawn => return,
         };
         let ejected = self.gateway.fleet().note_outcome(placement.key, is_failure, self.gateway.now());
@@ -202,17 +210,17 @@
                 }
                 Some(self.give_up("runners reject it", RETRY_AFTER_FULL).await)
             }
+            AttemptOutcome::Silent(successor) => {
+                self.successor = Some(*successor);
+                self.log_resumption();
+                None
+            }
             AttemptOutcome::Truncated if self.events.last_id().is_some() && self.may_retry() => {
-                log_event!(
-                    Event::StreamResumed,
-                    request = self.job.caller_fields.request_id,
-                    after = self.events.last_id().unwrap_or("")
-                );
+                self.log_resumption();
                 None
             }
             AttemptOutcome::Withdrawn => Some(self.give_up("it crashed runners", RETRY_AFTER_CRASHES).await),
-            AttemptOutcome::Failed(_) | AttemptOutcome::TimedOut if self.may_retry() => None,
-            AttemptOutcome::TimedOut => Some(self.fail(None).await),
+            AttemptOutcome::Failed(_) if self.may_retry() => None,
             AttemptOutcome::Truncated => Some(Ending::Truncated),
             AttemptOutcome::Failed(answer) => Some(self.fail(answer).await),
         }
@@ -235,15 +243,26 @@
         }
     }
 
+    /// Whether the route allows that a further runner executes the request.
+    fn allows_attempt(&self) -> bool {
+        self.job.route.is_repeatable() && self.executions < self.job.route.max_attempts
+    }
+
     fn may_retry(&self) -> bool {
-        let route = &self.job.route;
-        route.is_repeatable() && self.executions < route.max_attempts && self.has_time() && self.take_retry()
+        self.allows_attempt() && self.has_time() && self.take_retry()
     }
 
     fn has_time(&self) -> bool {
         self.job.deadline.since(self.gateway.now()) > MIN_RETRY_TIME
     }
 
+    /// Whether the budget allows a retry now.
+    fn has_retry(&self) -> bool {
+        let daemons = self.gateway.roster().size();
+        self.gateway.retries().has_retry(&self.job.service, daemons, self.gateway.now())
+    }
+
+    /// Takes a retry from the budget, if it allows one.
     fn take_retry(&self) -> bool {
         let daemons = self.gateway.roster().size();
         let allowed = self.gateway.retries().try_retry(&self.job.service, daemons, self.gateway.now());
@@ -284,6 +303,13 @@
         ending_unless_gone(self.caller.reply(&reply).await, Ending::Refused)
     }
 
+    /// Logs that the stream, if it has begun, goes on at another runner.
+    fn log_resumption(&self) {
+        if let Some(last) = self.events.last_id() {
+            log_event!(Event::StreamResumed, request = self.job.caller_fields.request_id, after = last);
+        }
+    }
+
     fn log_placement(&self, placement: &Placement) {
         self.gateway.metrics.note_choice(placement);
         log_event!(
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::future::pending;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_io::Timer;
@@ -14,6 +15,7 @@
 use super::in_flight::InFlight;
 use super::pending_attempt::PendingAttempt;
 use super::run_count::RunCount;
+use super::successor::{SEARCH_INTERVAL, Successor};
 use crate::dialect::{Dialect, RunnerFields, RunnerReply};
 use crate::fleet::Placement;
 use crate::http::{
@@ -46,7 +48,7 @@
 /// The longest idle time of a pooled connection that may carry a repeatable request.
 const MAX_IDLE_REPEATABLE: Millis = Millis(30_000);
 
-/// The shortest wait for an answer before a repeatable request goes to another runner.
+/// The shortest wait for an answer before another runner is looked for.
 const MIN_ATTEMPT_TIMEOUT: Millis = Millis(150);
 
 /// The outcome of one attempt.
@@ -63,8 +65,8 @@
     /// The runner may have executed it, and nothing new was sent to the caller. The answer, if any, is relayed when no
     /// further attempt is made.
     Failed(Option<Box<(ResponseHead, Vec<u8>)>>),
-    /// No answer began in time; the runner may still execute the request.
-    TimedOut,
+    /// The runner fell silent, and the successor takes over; the runner may still execute the request.
+    Silent(Box<Successor>),
     /// The request was withdrawn from the runner, since what it carries crashes runners.
     Withdrawn,
     /// The answer ended early, after a part was sent to the caller.
@@ -80,7 +82,7 @@
             AttemptOutcome::NotExecuted => "not run",
             AttemptOutcome::Failed(Some(_)) => "failure status",
             AttemptOutcome::Failed(None) => "no usable answer",
-            AttemptOutcome::TimedOut => "no answer in time",
+            AttemptOutcome::Silent(_) => "runner silent",
             AttemptOutcome::Withdrawn => "withdrawn",
             AttemptOutcome::Truncated => "stream broke off",
         }
@@ -92,14 +94,23 @@
     Disconnected,
     /// The bytes are no answer, for the stated reason.
     Malformed(&'static str),
-    TimedOut,
+    /// No head came in time, and the successor takes over.
+    Silent(Box<Successor>),
     Blocked,
 }
 
 impl<D: Dialect> Forwarder<'_, D> {
-    /// Sends the request to the placement's runner and relays the answer.
-    pub(super) async fn attempt(&mut self, placement: &Placement) -> AttemptOutcome {
-        let Some((mut connection, is_kept)) = self.open_connection(placement).await else {
+    /// Sends the request to the placement's runner, on `opened` if it is connected already, and relays the answer.
+    pub(super) async fn attempt(
+        &mut self,
+        placement: &Placement,
+        opened: Option<(Connection, bool)>,
+    ) -> AttemptOutcome {
+        let opened = match opened {
+            Some(opened) => Some(opened),
+            None => self.open_connection(placement).await,
+        };
+        let Some((mut connection, is_kept)) = opened else {
             return AttemptOutcome::Unreachable;
         };
         let mut in_flight = InFlight::begin(self.gateway, placement.key, placement.prefill_tokens);
@@ -125,15 +136,10 @@
             self.gateway.wait_for_block(&self.suspects).await;
             Err(HeadFailure::Blocked)
         };
-        let head = or(write, or(self.wait_for_head(&mut connection, is_kept, placement.pressure), block)).await;
+        let head = or(write, or(self.wait_for_head(&mut connection, is_kept, placement), block)).await;
         let (head, reply) = match head {
             Ok(answer) => answer,
-            Err(failure) => {
-                if matches!(failure, HeadFailure::TimedOut) {
-                    self.pending = None;
-                }
-                return self.note_head_failure(placement, &failure).await;
-            }
+            Err(failure) => return self.note_head_failure(placement, failure).await,
         };
         self.gateway.fleet().answered(placement.key);
         if !self.gateway.dialect.is_misdirected(head.status) {
@@ -173,12 +179,15 @@
         self.relay_buffered(placement, connection, head, reply, length, is_reusable).await
     }
 
-    async fn note_head_failure(&self, placement: &Placement, failure: &HeadFailure) -> AttemptOutcome {
+    async fn note_head_failure(&mut self, placement: &Placement, failure: HeadFailure) -> AttemptOutcome {
         match failure {
             HeadFailure::Blocked => return AttemptOutcome::Withdrawn,
             HeadFailure::Disconnected => self.record_crash(placement, BreakPoint::Head).await,
             HeadFailure::Malformed(reason) => self.log_cut_off(placement, reason),
-            HeadFailure::TimedOut => return AttemptOutcome::TimedOut,
+            HeadFailure::Silent(successor) => {
+                self.pending = None;
+                return AttemptOutcome::Silent(successor);
+            }
         }
         AttemptOutcome::Failed(None)
     }
@@ -238,7 +247,7 @@
     }
 
     /// A connection to the runner, and whether it has carried requests before.
-    async fn open_connection(&self, placement: &Placement) -> Option<(Connection, bool)> {
+    pub(super) async fn open_connection(&self, placement: &Placement) -> Option<(Connection, bool)> {
         let now = self.gateway.now();
         let max_idle = if self.job.route.is_repeatable() { MAX_IDLE_REPEATABLE } else { MAX_IDLE_UNSAFE };
         let pooled = self.gateway.pool().take(placement.key, max_idle, now);
@@ -263,22 +272,32 @@
         }
     }
 
-    /// Waits for the head of this request's answer, for as long as `head_timeout` allows.
+    /// Waits for the head of this request's answer. After `head_timeout` another runner is looked for as well.
     async fn wait_for_head(
         &self,
         connection: &mut Connection,
         is_kept: bool,
-        pressure: Millis,
+        placement: &Placement,
     ) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
-        let read = self.read_matching_head(connection, is_kept);
-        let Some(timeout) = self.head_timeout(pressure) else {
+        let mut read = pin!(self.read_matching_head(connection, is_kept));
+        let Some(timeout) = self.head_timeout(placement.pressure) else {
             return read.await;
         };
-        or(read, async {
-            Timer::after(timeout.into()).await;
-            Err(HeadFailure::TimedOut)
-        })
-        .await
+        if let Some(head) = or(async { Some(read.as_mut().await) }, elapse(timeout)).await {
+            return head;
+        }
+        let mut is_logged = false;
+        loop {
+            if let Some(successor) = self.find_successor(placement).await {
+                return Err(HeadFailure::Silent(successor));
+            }
+            if !std::mem::replace(&mut is_logged, true) {
+                self.log_silence(placement);
+            }
+            if let Some(head) = or(async { Some(read.as_mut().await) }, elapse(SEARCH_INTERVAL)).await {
+                return head;
+            }
+        }
     }
 
     /// Reads the head of this request's answer; skips interim responses and late answers to earlier requests. Runners
@@ -323,11 +342,11 @@
         }
     }
 
-    /// How long to wait for the head of this runner's answer while another runner could be tried; `None` for no limit.
+    /// How long to wait for the head of this runner's answer before another runner is looked for; `None` if none may be.
     /// A stream also gets the time for the prompt tokens queued at the runner, since it would queue anew elsewhere.
     fn head_timeout(&self, pressure: Millis) -> Option<Millis> {
         let route = &self.job.route;
-        if !route.is_repeatable() || self.executions >= route.max_attempts {
+        if !self.allows_attempt() {
             return None;
         }
         let left = self.job.deadline.since(self.gateway.now());
@@ -389,6 +408,12 @@
     }
 }
 
+/// Returns `None` after `span`.
+async fn elapse<T>(span: Millis) -> Option<T> {
+    Timer::after(span.into()).await;
+    None
+}
+
 async fn read_head(connection: &mut Connection) -> Result<ResponseHead, HeadFailure> {
     loop {
         let parsed = ResponseHead::parse(connection.bytes(), MAX_HEAD_BYTES)
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -9,16 +9,17 @@
 use super::crash::BreakPoint;
 use super::in_flight::InFlight;
 use super::run_count::RunCount;
+use super::successor::SEARCH_INTERVAL;
 use crate::dialect::Dialect;
 use crate::fleet::Placement;
 use crate::http::{BodyError, BodyLength, BodyReader, Connection, ResponseHead};
 
-/// A stream that may resume at another runner is given up after so many of its longest pauses without an event, but not
-/// before `MIN_SILENCE_TIMEOUT`: a busy runner pauses for a while, but a dead connection stays silent for good, and a
-/// stalled runner may still send bytes that are no event.
+/// Another runner is looked for after so many of a stream's longest pauses without an event, but not before
+/// `MIN_SILENCE_TIMEOUT`: a busy runner pauses for a while, but a dead connection stays silent for good, and a stalled
+/// runner may still send bytes that are no event.
 const SILENCE_PAUSES: u64 = 4;
 
-/// The shortest time without an event after which a stream resumes at another runner.
+/// The shortest time without an event after which another runner is looked for.
 const MIN_SILENCE_TIMEOUT: Millis = Millis(1_200);
 
 /// A stream with this many events is being answered; a runner may crash as it begins to.
@@ -38,19 +39,29 @@
         let head = self.head.get_or_insert(head).clone();
         let mut reader = BodyReader::new(length);
         let mut chunk = Vec::new();
-        let mut event_at = self.gateway.now();
+        let mut search_at = self.silence_end();
+        let mut is_logged = false;
         loop {
             let count = self.events.count();
-            match self.next_bytes(&mut reader, connection, event_at).await {
+            match self.next_bytes(&mut reader, connection, search_at).await {
                 Ok(true) => {}
                 Ok(false) => break,
+                Err(BodyError::Stalled) => {
+                    if let Some(successor) = self.find_successor(placement).await {
+                        self.pending = None;
+                        self.events.drop_partial();
+                        return AttemptOutcome::Silent(successor);
+                    }
+                    if !std::mem::replace(&mut is_logged, true) {
+                        self.log_silence(placement);
+                    }
+                    search_at = Some(self.gateway.now() + SEARCH_INTERVAL);
+                    continue;
+                }
                 Err(error) => {
                     if matches!(error, BodyError::Incomplete) {
                         self.record_crash(placement, BreakPoint::Stream).await;
                     }
-                    if matches!(error, BodyError::Stalled) {
-                        self.pending = None;
-                    }
                     return self.interrupted();
                 }
             }
@@ -75,7 +86,8 @@
             }
             chunk.clear();
             if self.events.count() > count {
-                event_at = self.gateway.now();
+                search_at = self.silence_end();
+                is_logged = false;
             }
         }
         // Only the events say whether a body that ends with its connection is whole.
@@ -96,17 +108,17 @@
         }
     }
 
-    /// Reads more of the stream, whose last event came at `event_at`.
+    /// Reads more of the stream; it is stalled if nothing arrives before `search_at`.
     async fn next_bytes(
         &mut self,
         reader: &mut BodyReader,
         connection: &mut Connection,
-        event_at: Millis,
+        search_at: Option<Millis>,
     ) -> Result<bool, BodyError> {
-        let Some(silence) = self.silence_timeout() else {
+        let Some(search_at) = search_at else {
             return reader.next(connection, self.events.input()).await;
         };
-        let remaining = Millis(silence.0.saturating_sub(self.gateway.now().since(event_at).0));
+        let remaining = search_at.since(self.gateway.now());
         or(reader.next(connection, self.events.input()), async {
             Timer::after(remaining.into()).await;
             Err(BodyError::Stalled)
@@ -114,13 +126,11 @@
         .await
     }
 
-    fn silence_timeout(&self) -> Option<Millis> {
-        let route = &self.job.route;
-        if !route.is_repeatable() || self.executions >= route.max_attempts {
-            return None;
-        }
-        let pause = route.longest_pause.unwrap_or(route.target);
-        Some(Millis(pause.0 * SILENCE_PAUSES).max(MIN_SILENCE_TIMEOUT))
+    /// When another runner is looked for unless an event arrives before; `None` if none may be.
+    fn silence_end(&self) -> Option<Millis> {
+        let pause = self.job.route.longest_pause.unwrap_or(self.job.route.target);
+        let timeout = Millis(pause.0 * SILENCE_PAUSES).max(MIN_SILENCE_TIMEOUT);
+        self.allows_attempt().then(|| self.gateway.now() + timeout)
     }
 
     fn observe_first_event(&self) {
--- a/crates/gateway/src/retry_limiter.rs
+++ b/crates/gateway/src/retry_limiter.rs
@@ -57,16 +57,22 @@
 
     /// Counts a retry and returns true if the budget allows it; the slack is divided among `daemons` daemons.
     pub fn try_retry(&mut self, service: &ModelName, daemons: usize, now: Millis) -> bool {
+        let is_allowed = self.has_retry(service, daemons, now);
+        if is_allowed {
+            let span = self.bounds.retry_window.into();
+            self.windows.entry(service.clone()).or_default().current_second(now, span).2 += 1;
+        }
+        is_allowed
+    }
+
+    /// Whether the budget allows a retry, which is not counted.
+    pub fn has_retry(&mut self, service: &ModelName, daemons: usize, now: Millis) -> bool {
         let span = self.bounds.retry_window.into();
         let window = self.windows.entry(service.clone()).or_default();
         window.current_second(now, span);
         let (firsts, retries) = window.sums();
         let slack = self.bounds.retry_slack / daemons.max(1) as f64;
         let allowed = BUDGET_SHARE * (self.bounds.retry_ratio * f64::from(firsts) + slack);
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        window.current_second(now, span).2 += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed
     }
 }
