Clear what crashes runners only by answers that show it sound

Cause: each whole signed answer, also a failure, cleared the prompt's parts and the content of earlier crashes, here and at all peers; without a body it also made the content one that silent runners do not count against. Change: a success clears both; a runner that declines a request clears its content; a failure, a time-out or a limit clears nothing. Event 658 says what an answer cleared. Why it works: a runner may fail a request before it begins with it, so that only an answer made for the request's content says anything of it.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -103,24 +103,21 @@
     }
 
     /// Records that a request is being answered, which clears its prompt's `parts` of all crashes. Its content is not
-    /// cleared until the answer is whole: it may crash the runner later on.
-    pub fn note_answered(&mut self, parts: &[Suspect], now: Millis) {
+    /// cleared until the answer is whole: it may crash the runner later on. Returns the parts that had crashes.
+    pub fn note_answered(&mut self, parts: &[Suspect], now: Millis) -> Vec<Suspect> {
         self.expire(now);
         for part in parts.iter().copied() {
             if self.answered.len() < MAX_ANSWERED || self.answered.contains_key(&part) {
                 self.answered.insert(part, Answered { at: now, is_own: true });
             }
-            if self.remove(part, now) {
-                self.report_clear(part, now);
-            }
         }
+        parts.iter().copied().filter(|part| self.clear(*part, now)).collect()
     }
 
-    /// Records that a runner sent a whole answer, which clears the request's `content` of earlier crashes. Later ones count.
-    pub fn note_complete(&mut self, content: Suspect, now: Millis) {
-        if self.remove(content, now) {
-            self.report_clear(content, now);
-        }
+    /// Records that a runner sent a whole answer that judges the request, which clears the request's `content` of earlier crashes. Later ones
+    /// count. Returns whether it had any.
+    pub fn note_complete(&mut self, content: Suspect, now: Millis) -> bool {
+        self.clear(content, now)
     }
 
     /// Records that a peer saw a suspect answered.
@@ -278,6 +275,15 @@
         log::debug!("dropped {DROPPED_SUSPECTS} suspects of crashes; {} are left", self.suspects.len());
     }
 
+    /// Removes the crashes of a suspect, here and at peers; returns whether there were any.
+    fn clear(&mut self, suspect: Suspect, now: Millis) -> bool {
+        let had_crashes = self.remove(suspect, now);
+        if had_crashes {
+            self.report_clear(suspect, now);
+        }
+        had_crashes
+    }
+
     fn report_clear(&mut self, suspect: Suspect, now: Millis) {
         self.cleared.insert(suspect, Answered { at: now, is_own: true });
         self.digest = None;
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -83,6 +83,8 @@
     RequestBlocked = 656;
     /// A runner is silent for so long that another one would take over, but none is free or no retry is left; its answer is waited for.
     RunnerSilent = 657;
+    /// An answer cleared a suspect of the crashes that were counted against it.
+    CrashesCleared = 658;
     /// A task that served one connection or made one call panicked; its connection was closed.
     TaskPanicked = 660;
     /// A task without which the daemon cannot serve panicked, or a panic left shared state half changed; the process ends.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -235,14 +235,6 @@
         (self.suspects[0], &self.suspects[1..])
     }
 
-    /// Records that the request is being answered, so that no part of its prompt crashes runners.
-    fn note_answered(&mut self) {
-        if !std::mem::replace(&mut self.is_cleared, true) {
-            let (_, parts) = self.content_and_parts();
-            self.gateway.crashes().note_answered(parts, self.gateway.now());
-        }
-    }
-
     /// Whether the route allows that a further runner executes the request.
     fn allows_attempt(&self) -> bool {
         self.job.route.is_repeatable() && self.executions < self.job.route.max_attempts
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -225,7 +225,7 @@
         let idle_timeout = idle_timeout(&head);
         if length != BodyLength::UntilClose {
             if reply.is_signed {
-                self.note_complete();
+                self.note_complete(head.status);
             }
             if is_reusable {
                 self.return_connection(placement, connection, idle_timeout);
--- a/crates/gateway/src/forward/crash.rs
+++ b/crates/gateway/src/forward/crash.rs
@@ -99,17 +99,41 @@
         }
     }
 
-    /// Records a whole answer of a runner, which shows that the request does not crash runners.
-    pub(super) fn note_complete(&mut self) {
-        self.note_answered();
+    /// Records a whole answer of a runner with this status. A success shows that nothing in the request crashes runners. A
+    /// runner that declines the request has read its content, but has not begun to write on its prompt. A runner may fail
+    /// a request before it begins with it, which shows nothing.
+    pub(super) fn note_complete(&mut self, status: u16) {
+        if (200..300).contains(&status) {
+            self.note_answered();
+        }
+        if !judges_content(status) {
+            return;
+        }
         let (content, _) = self.content_and_parts();
         let now = self.gateway.now();
-        self.gateway.crashes().note_complete(content, now);
+        if self.gateway.crashes().note_complete(content, now) {
+            self.log_cleared(content);
+        }
         if self.job.body.is_empty() {
             self.gateway.pending_crashes().note_common(content, now);
         }
     }
 
+    /// Records that the request is being answered, so that no part of its prompt crashes runners.
+    pub(super) fn note_answered(&mut self) {
+        if std::mem::replace(&mut self.is_cleared, true) {
+            return;
+        }
+        let (_, parts) = self.content_and_parts();
+        let cleared = self.gateway.crashes().note_answered(parts, self.gateway.now());
+        cleared.into_iter().for_each(|part| self.log_cleared(part));
+    }
+
+    fn log_cleared(&self, suspect: Suspect) {
+        let kind = if suspect.is_part() { "part" } else { "content" };
+        log_event!(Event::CrashesCleared, request = self.job.caller_fields.request_id, suspect = suspect, kind = kind);
+    }
+
     fn log_break(&self, placement: &Placement, point: BreakPoint, is_counted: bool) {
         let parts = self.job.caller_fields.prompt.as_ref().map_or(&[][..], Prompt::shared);
         log_event!(
@@ -125,6 +149,12 @@
     }
 }
 
+/// Whether a runner that answers with this status has read the request's content; time-outs, answers for another runner and
+/// limits on requests say nothing of it.
+fn judges_content(status: u16) -> bool {
+    (200..500).contains(&status) && ![408, 421, 429].contains(&status)
+}
+
 /// Whether nothing listens at `address`. A connection that is not established in time does not count: the path may be cut,
 /// or the runner busy, and its stream was whole.
 async fn refuses_connections(address: SocketAddr) -> bool {
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -100,7 +100,7 @@
             return self.interrupted();
         }
         if !is_unframed {
-            self.note_complete();
+            self.note_complete(head.status);
         }
         match self.caller.finish(&head).await {
             Ok(()) => AttemptOutcome::Complete,
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -43,6 +43,8 @@
     repeats: u32,
     starts_at: Millis,
     ends_at: Millis,
+    /// Whether its runner fails it instead of beginning with it.
+    is_failed: bool,
     is_answered: bool,
 }
 
@@ -77,6 +79,8 @@
     /// Tainted requests, and sound ones that share their first part, in a thousand.
     tainted_share: u32,
     sharing_share: u32,
+    /// Requests that runners fail before they begin with them, in a thousand.
+    failed_share: u32,
     trackers: Vec<CrashTracker>,
     runners: Vec<Runner>,
     outcome: Outcome,
@@ -91,6 +95,8 @@
         Day {
             tainted_share: random.u32(20..400),
             sharing_share: random.u32(5..200),
+            // None on every other day.
+            failed_share: if seed.is_multiple_of(2) { 0 } else { random.u32(100..500) },
             random,
             trackers: (0..DAEMONS).map(|_| CrashTracker::default()).collect(),
             runners,
@@ -133,7 +139,8 @@
         let daemon = self.random.usize(..DAEMONS);
         let starts_at = now + Millis(self.random.u64(30..500));
         let ends_at = starts_at + Millis(self.random.u64(100..900));
-        let request = Request { daemon, content, parts, repeats, starts_at, ends_at, is_answered: false };
+        let is_failed = self.random.u32(..1_000) < self.failed_share;
+        let request = Request { daemon, content, parts, repeats, starts_at, ends_at, is_failed, is_answered: false };
         let is_blocked = self.trackers[daemon].is_blocked(&request.suspects(), now);
         match request.parts[..] {
             [FIRST_PART, CRASHING_PART] if !is_blocked => self.outcome.tainted.push(now),
@@ -153,6 +160,7 @@
     fn run(&mut self, index: usize, now: Millis) {
         let runner = &mut self.runners[index];
         let is_starting = |request: &Request| request.starts_at <= now;
+        runner.requests.retain(|request| !(request.is_failed && is_starting(request)));
         if runner.requests.iter().any(|request| is_starting(request) && request.parts.contains(&CRASHING_PART)) {
             let lost = std::mem::take(&mut runner.requests);
             let start =
