Read the stored crashes as of now when a daemon starts

Cause: a starting daemon learned stored crashes from a cheap list only, which may be seconds old and showed the store from before they were written; the next list came after 4 to 12 s, and no peer was left to tell. Change: a daemon that starts reads the stored crashes once as of now, and again until the store answers; daemons that leave reading to peers of their zone hear from these. Why it works: what was acknowledged before the restart is in a read as of now.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::control_api::ControlApi;
 use crate::dialect::Dialect;
 use crate::discovery::{
-    StoreHealth, check_configuration, drop_missing, follow_configuration, follow_runners, list_members,
+    StoreHealth, check_configuration, drop_missing, follow_configuration, follow_runners, list_members, read_crashes,
     stay_registered, store_crashes,
 };
 use crate::duties::start_duties;
@@ -108,6 +108,7 @@
         spawn_essential(&control, "caches", read_caches(shared()));
         spawn_essential(&control, "limits", learn_limits(shared()));
         spawn_essential(&control, "stored crashes", store_crashes(shared(), kept()));
+        spawn_essential(&control, "known crashes", read_crashes(shared(), kept()));
         spawn_essential(&control, "heartbeats", send_heartbeats(shared(), socket.clone()));
         spawn_essential(&control, "phase", announce_phase(shared(), socket.clone()));
         gateway.placer.open(socket.clone());
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -33,8 +33,8 @@
 pub use runner_index::{NewsOutcome, RunnerIndex, split_news};
 pub use runners::{drop_missing, fetch_runners, follow_runners};
 pub use store_health::StoreHealth;
-pub use stored_crashes::store_crashes;
 use stored_crashes::{CRASH_PREFIX, learn_crashes};
+pub use stored_crashes::{read_crashes, store_crashes};
 
 /// The prefix of all keys that daemons write.
 const OWN_PREFIX: &str = "teaselcroft/";
--- a/crates/gateway/src/discovery/stored_crashes.rs
+++ b/crates/gateway/src/discovery/stored_crashes.rs
@@ -1,4 +1,4 @@
-//! Keeps what crashes runners in the store, for daemons that start when no other one is left to tell.
+//! Keeps what crashes runners in the store, for daemons that start when no other one is left to tell, and reads it there.
 
 use std::sync::Arc;
 
@@ -23,6 +23,12 @@
 /// The longest mean delay between writes.
 const MAX_RETRY_DELAY: Millis = Millis(3_200);
 
+/// How long a starting daemon may take to read the store itself: until then its peers may turn out not to read it for its zone.
+const ROLE_TIME: Millis = Millis(10_000);
+
+/// How often a starting daemon checks whether it reads the store itself.
+const ROLE_POLL_INTERVAL: Millis = Millis(50);
+
 /// The stored crashes of one suspect.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 struct StoredCrashes {
@@ -64,6 +70,34 @@
     store.put(&format!("{CRASH_PREFIX}{kind}-{suspect}"), &value, lease).await
 }
 
+/// Reads the stored crashes as of now, once: the cheap lists may show the store from before these were written, and where all
+/// daemons start anew no peer knows them. Daemons that leave reading to peers of their zone hear from these; never returns.
+pub async fn read_crashes<D: Dialect, S: Store>(gateway: Arc<Gateway<D>>, store: Arc<S>) {
+    let began = gateway.now();
+    while !gateway.has_reader_role() || gateway.is_listener() {
+        if gateway.now().since(began) >= ROLE_TIME {
+            return std::future::pending().await;
+        }
+        Timer::after(ROLE_POLL_INTERVAL.into()).await;
+    }
+    let mut backoff = Backoff::new(MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+    loop {
+        match store.list(CRASH_PREFIX).await {
+            Ok(changes) => {
+                log_event!(Event::CrashesRead, suspects = changes.changes.len(), revision = changes.revision);
+                for change in changes.changes {
+                    if let Some(value) = change.value {
+                        learn_crashes(&gateway, &change.key, &value);
+                    }
+                }
+                return std::future::pending().await;
+            }
+            Err(error) => log::debug!("failed to read the stored crashes: {error}"),
+        }
+        Timer::after(backoff.next_delay().into()).await;
+    }
+}
+
 /// Adds the crashes of one entry in the store to those that are known.
 pub fn learn_crashes<D: Dialect>(gateway: &Gateway<D>, key: &str, value: &[u8]) {
     let stored = match StoredCrashes::decode(value) {
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -43,6 +43,8 @@
     CrashesFetched = 627;
     /// The crashes of a suspect that is blocked were written to the store.
     CrashesStored = 628;
+    /// A daemon that starts read the stored crashes; states how many suspects have some.
+    CrashesRead = 629;
     /// A configuration became active.
     ConfigApplied = 630;
     /// A peer states a newer configuration than the active one; it is fetched unless the store delivers it first.
