Take no answer with a status that does not exist

Cause: a head's status was any three digits, compared with one bound only. Change: a status below 100 or above 599 makes the head malformed: 502, or another attempt where that is allowed. Why it works: no code after the parser sees such a status.

--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -95,7 +95,7 @@
 /// The status line and header fields of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
-    /// The status code.
+    /// The status code, from 100 to 599.
     pub status: u16,
     /// The reason phrase.
     pub reason: String,
@@ -110,14 +110,14 @@
     ///
     /// # Errors
     ///
-    /// The bytes are malformed, or the head exceeds `max_bytes` or the limit on header fields.
+    /// The bytes are malformed, the status is none that HTTP has, or the head exceeds `max_bytes` or the limit on header fields.
     pub fn parse(bytes: &[u8], max_bytes: usize) -> Result<Option<(ResponseHead, usize)>, HeadError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
         let mut response = httparse::Response::new(&mut headers);
         let httparse::Status::Complete(length) = response.parse(bytes)? else {
             return if bytes.len() > max_bytes { Err(HeadError::TooLarge) } else { Ok(None) };
         };
-        let (Some(status), Some(version)) = (response.code, response.version) else {
+        let (Some(status @ 100..=599), Some(version)) = (response.code, response.version) else {
             return Err(HeadError::Malformed);
         };
         let head = ResponseHead {
