Do not take a reset that a write saw for the end of an answer

Cause: request and answer use the connection at the same time, and the system reports a reset once. If the write took it, reading ended in order. Change: a connection remembers a failed write; from then on its end reads as a reset. Why it works: only the end of the connection says that such an answer is whole, and it no longer counts once a reset was seen.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -125,12 +125,11 @@
         self.pending = Some(PendingAttempt::begin(self.gateway, crash, self.job.route.target, self.job.deadline));
         let customer = self.job.customer.as_ref().map(|customer| &customer.name);
         let mut run = RunCount::sent(self.gateway, customer, sent_at);
-        let written = AtomicBool::new(false);
+        let (written, write_failed) = (AtomicBool::new(false), AtomicBool::new(false));
         let socket = connection.socket().clone();
         let write = async {
-            if (&*socket).write_all(&message).await.is_ok() {
-                written.store(true, Ordering::Relaxed);
-            }
+            let is_whole = (&*socket).write_all(&message).await.is_ok();
+            if is_whole { &written } else { &write_failed }.store(true, Ordering::Relaxed);
             pending().await
         };
         let block = async {
@@ -150,6 +149,9 @@
             pending.note_alive(&placement.record, now);
         }
         let is_reusable = written.load(Ordering::Relaxed);
+        if write_failed.load(Ordering::Relaxed) {
+            connection.note_failed_write();
+        }
         self.note_statements(placement, &head, &reply, sent_at);
         if reply.not_run || self.gateway.dialect.is_misdirected(head.status) {
             run.not_run();
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -34,12 +34,14 @@
     socket: Socket,
     buffer: Vec<u8>,
     start: usize,
+    /// Whether a write failed.
+    is_broken: bool,
 }
 
 impl Connection {
     /// A connection over `socket` with an empty buffer.
     pub fn new(socket: Socket) -> Connection {
-        Connection { socket, buffer: Vec::new(), start: 0 }
+        Connection { socket, buffer: Vec::new(), start: 0, is_broken: false }
     }
 
     /// The socket, for writing.
@@ -47,6 +49,12 @@
         &self.socket
     }
 
+    /// Records that a write to the socket failed. The system reports a reset once: after that write the end of the connection
+    /// reads like an orderly one.
+    pub fn note_failed_write(&mut self) {
+        self.is_broken = true;
+    }
+
     /// The bytes that were read and not yet consumed.
     pub fn bytes(&self) -> &[u8] {
         &self.buffer[self.start..]
@@ -98,7 +106,10 @@
             }
         };
         self.buffer.truncate(length + *result.as_ref().unwrap_or(&0));
-        result
+        match result {
+            Ok(0) if self.is_broken => Err(io::ErrorKind::ConnectionReset.into()),
+            other => other,
+        }
     }
 
     /// Whether an idle connection can carry another request: it is open, and no unsolicited bytes have arrived.
