--- a/crates/gateway/src/discovery/runners.rs
+++ b/crates/gateway/src/discovery/runners.rs
@@ -324,6 +324,7 @@
     let known = |service: &ModelName| gateway.fleet().count_of(service);
     for (name, revision) in health.take_gone(known, gateway.now()) {
         gateway.fleet().note_departure(&name, revision, gateway.now());
+        gateway.note_runner_gone(&name);
         let key = gateway.fleet().remove_runner(&name);
         if let Some(key) = key {
             gateway.pool().forget(key);
--- a/crates/gateway/src/gateway/crashes.rs
+++ b/crates/gateway/src/gateway/crashes.rs
@@ -79,6 +79,11 @@
         self.pending_crashes().note_removal(runner, started_at, now);
     }
 
+    /// Records that a runner whose entry vanished is gone for good.
+    pub fn note_runner_gone(&self, runner: &RunnerName) {
+        self.pending_crashes().note_gone(runner);
+    }
+
     /// Counts the requests that got no answer from runners whose entries vanished.
     pub fn count_removed(&self) {
         let now = self.now();
--- a/crates/gateway/src/pending_crashes.rs
+++ b/crates/gateway/src/pending_crashes.rs
@@ -1,17 +1,20 @@
 //! Requests after which a runner may have crashed, until its store entry shows whether it did.
 
 mod life_signs;
+mod pending_crash;
 mod silence;
+mod silent_runner;
+mod silent_runners;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::sync::Arc;
 
-use teaselcroft_parts::{Millis, ModelName, RunnerName};
+use teaselcroft_parts::{Millis, RunnerName};
 
 use crate::RunnerRecord;
 use crate::crash_tracker::Suspect;
 use life_signs::LifeSigns;
-use silence::Silence;
+pub use pending_crash::PendingCrash;
+use silent_runners::SilentRunners;
 
 /// A runner that crashed registers its next start within this time: a few seconds until it serves, and its first write.
 const RESTART_TIME: Millis = Millis(6_000);
@@ -20,10 +23,6 @@
 /// may still serve, its entry may return, and the entries of other runners that are cut off vanish within it.
 const REMOVAL_TIME: Millis = Millis(2_000);
 
-/// The entries of runners that fell silent together vanish within this time: a heartbeat, as each entry outlasts the last one
-/// by the same time, and the delay until a daemon sees it.
-const REMOVAL_SPREAD: Millis = Millis(1_500);
-
 /// How long a removal may become evidence, as the silence of other runners is explained.
 const MAX_REMOVAL_TIME: Millis = Millis(4_000);
 
@@ -44,25 +43,6 @@
 /// The most requests, and the most answers, that are remembered; the oldest requests are dropped first.
 const MAX_PENDING: usize = 4_096;
 
-/// A request at one start of a runner.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PendingCrash {
-    /// The runner.
-    pub runner: RunnerName,
-    /// The time of its start.
-    pub started_at: i64,
-    /// The service that it belongs to.
-    pub service: ModelName,
-    /// What the request carries: its content, then the shared parts of its prompt.
-    pub suspects: Arc<[Suspect]>,
-}
-
-impl PendingCrash {
-    fn is_at(&self, record: &RunnerRecord) -> bool {
-        self.started_at == record.started_at && self.runner == record.name
-    }
-}
-
 /// Identifies a request that waits for its answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct PendingId(u64);
@@ -87,6 +67,8 @@
     ended_at: Option<Millis>,
     /// When the runner's entry vanished.
     removed_at: Option<Millis>,
+    /// Whether the entry is not expected to return.
+    is_gone: bool,
     /// Until when news of the runner is evidence.
     until: Millis,
 }
@@ -111,13 +93,22 @@
     /// Adds a request that is sent at `now`. Its answer should begin by `due_at`, and is waited for until `deadline`.
     pub fn begin(&mut self, crash: PendingCrash, due_at: Millis, deadline: Millis, now: Millis) -> PendingId {
         let until = deadline.max(now + RESTART_TIME);
-        self.add(Pending { crash, is_unanswered: true, due_at, ended_at: None, removed_at: None, until })
+        self.add(Pending {
+            crash,
+            is_unanswered: true,
+            due_at,
+            ended_at: None,
+            removed_at: None,
+            is_gone: false,
+            until,
+        })
     }
 
     /// Adds a request whose answer ended at `now` in a way that may have been a crash.
     pub fn add_ended(&mut self, crash: PendingCrash, now: Millis) {
-        let until = now + RESTART_TIME;
-        self.add(Pending { crash, is_unanswered: false, due_at: now, ended_at: Some(now), removed_at: None, until });
+        let (ended_at, until) = (Some(now), now + RESTART_TIME);
+        let is_unanswered = false;
+        self.add(Pending { crash, is_unanswered, due_at: now, ended_at, removed_at: None, is_gone: false, until });
     }
 
     /// Records that a runner was heard: an answer or an event arrived.
@@ -162,7 +153,7 @@
     pub fn note_entry(&mut self, record: &RunnerRecord, now: Millis) -> Vec<PendingCrash> {
         self.expire(now);
         for pending in self.pending.values_mut().filter(|pending| pending.crash.is_at(record)) {
-            pending.removed_at = None;
+            (pending.removed_at, pending.is_gone) = (None, false);
         }
         if !record.is_ready {
             // Its end, and the start that may follow, are planned.
@@ -182,31 +173,39 @@
         }
     }
 
+    /// Records that a runner's entry, which vanished, is not expected to return.
+    pub fn note_gone(&mut self, runner: &RunnerName) {
+        let is_at = |pending: &&mut Pending| pending.removed_at.is_some() && pending.crash.runner == *runner;
+        self.pending.values_mut().filter(is_at).for_each(|pending| pending.is_gone = true);
+    }
+
     /// Returns the requests after which the runner's entry vanished for good, while the runner fell silent by itself.
     /// `is_counted` says whether a runner's crash is counted already against what a request carries, which explains its
     /// silence.
     pub fn take_removed(&mut self, is_counted: impl Fn(&PendingCrash) -> bool, now: Millis) -> Vec<PendingCrash> {
-        let (mut crashes, mut resolved) = (Vec::new(), BTreeSet::new());
-        for (id, pending) in &self.pending {
-            let Some(removed_at) = pending.removed_at.filter(|at| now.since(*at) >= MIN_REMOVAL_TIME) else {
-                continue;
-            };
+        let (mut crashes, mut disregarded, mut resolved) = (Vec::new(), Vec::new(), BTreeSet::new());
+        let removed = self.pending.iter().filter_map(|(id, pending)| Some((*id, pending, pending.removed_at?)));
+        let removed: Vec<_> = removed.filter(|(.., at)| now.since(*at) >= MIN_REMOVAL_TIME).collect();
+        let silent = if removed.is_empty() { SilentRunners::default() } else { self.silent_runners(now) };
+        for (id, pending, removed_at) in removed {
             let crash = &pending.crash;
             let is_alone = if now.since(removed_at) >= REMOVAL_TIME {
-                self.removed_with(crash, removed_at, &is_counted) < MAX_SILENT_TOGETHER
+                silent.count_removed(crash, &is_counted) < MAX_SILENT_TOGETHER
             } else {
-                self.silent_with(crash, &is_counted, now) < MAX_SILENT_TOGETHER && self.is_heard_around(crash)
+                silent.count_silent(crash, &is_counted) < MAX_SILENT_TOGETHER && self.is_heard_around(crash, &silent)
             };
+            let is_alone = is_alone && pending.is_gone;
             if is_alone {
                 crashes.push(crash.clone());
             } else if now.since(removed_at) >= MAX_REMOVAL_TIME {
-                self.disregarded.push(crash.clone());
+                disregarded.push(crash.clone());
             } else {
                 continue;
             }
-            resolved.insert(*id);
+            resolved.insert(id);
         }
         self.pending.retain(|id, _| !resolved.contains(id));
+        self.disregarded.append(&mut disregarded);
         self.expire(now);
         crashes
     }
@@ -216,64 +215,27 @@
         std::mem::take(&mut self.disregarded)
     }
 
-    /// Whether most of the runners that the daemon uses beside this one were heard after it had fallen silent.
-    fn is_heard_around(&self, crash: &PendingCrash) -> bool {
-        let is_asked =
-            |name: &RunnerName| *name != crash.runner && self.removals.iter().all(|removal| removal.runner != *name);
-        self.life_signs.are_most_heard(&crash.service, is_asked, self.silence_of(&crash.runner).by)
-    }
-
-    /// How many other runners whose entries vanished, or that owe an answer, may have fallen silent together with this one.
-    fn silent_with(&self, crash: &PendingCrash, is_counted: impl Fn(&PendingCrash) -> bool, now: Millis) -> usize {
-        let owing = self.pending.values().filter(|pending| {
-            let heard_at = self.life_signs.last_at(&pending.crash.runner);
-            pending.is_unanswered && pending.due_at < now && pending.due_at >= heard_at
-        });
-        let owing = owing.map(|pending| (&pending.crash.runner, Some(pending.crash.started_at)));
-        let vanished = self.removals.iter().map(|removal| (&removal.runner, removal.started_at));
-        let others: BTreeSet<(&RunnerName, Option<i64>)> = owing.chain(vanished).collect();
-        let silent = others.into_iter().filter(|(name, start)| self.may_belong(crash, name, *start, &is_counted));
-        silent.map(|(name, _)| name).collect::<BTreeSet<_>>().len()
-    }
-
-    /// How many other runners may have fallen silent together with this one, whose entry vanished at `at`: the most whose
-    /// entries vanished within `REMOVAL_SPREAD`, this one's among them.
-    fn removed_with(&self, crash: &PendingCrash, at: Millis, is_counted: impl Fn(&PendingCrash) -> bool) -> usize {
-        let is_near = |removal: &&Removal| removal.at.since(at).max(at.since(removal.at)) <= REMOVAL_SPREAD;
-        let near = self.removals.iter().filter(is_near);
-        let near: Vec<&Removal> =
-            near.filter(|removal| self.may_belong(crash, &removal.runner, removal.started_at, &is_counted)).collect();
-        let starts = near.iter().map(|removal| removal.at.min(at));
-        let together = starts.map(|start| {
-            let is_within = |removal: &&&Removal| removal.at >= start && removal.at.since(start) <= REMOVAL_SPREAD;
-            near.iter().filter(is_within).map(|removal| &removal.runner).collect::<BTreeSet<_>>().len()
-        });
-        together.max().unwrap_or(0)
-    }
-
-    /// Whether another runner may have fallen silent together with this one, for a reason that is not known.
-    fn may_belong(
-        &self,
-        crash: &PendingCrash,
-        other: &RunnerName,
-        started_at: Option<i64>,
-        is_counted: impl Fn(&PendingCrash) -> bool,
-    ) -> bool {
-        let is_explained = started_at
-            .is_some_and(|started_at| is_counted(&PendingCrash { runner: other.clone(), started_at, ..crash.clone() }));
-        *other != crash.runner && !is_explained && self.silence_of(&crash.runner).may_coincide(self.silence_of(other))
+    /// The runners whose entries vanished lately, and those that owe an answer.
+    fn silent_runners(&self, now: Millis) -> SilentRunners<'_> {
+        let mut silent = SilentRunners::default();
+        for pending in self.pending.values().filter(|pending| pending.is_unanswered && pending.due_at < now) {
+            let crash = &pending.crash;
+            let heard_at = self.life_signs.last_at(&crash.runner);
+            if heard_at <= pending.due_at {
+                silent.add(&crash.runner, Some(crash.started_at), (heard_at, pending.due_at), None);
+            }
+        }
+        for Removal { at, runner, started_at } in &self.removals {
+            silent.add(runner, *started_at, (self.life_signs.last_at(runner), *at), Some(*at));
+        }
+        silent
     }
 
-    /// When a runner fell silent that owes an answer or whose entry vanished.
-    fn silence_of(&self, runner: &RunnerName) -> Silence {
-        let after = self.life_signs.last_at(runner);
-        let owed = self
-            .pending
-            .values()
-            .filter(|pending| pending.is_unanswered && pending.crash.runner == *runner && pending.due_at >= after);
-        let removed = self.removals.iter().filter(|removal| removal.runner == *runner).map(|removal| removal.at);
-        let by = owed.map(|pending| pending.due_at).chain(removed).min();
-        Silence { after, by: by.unwrap_or(after) }
+    /// Whether most of the runners that the daemon uses beside this one were heard after it had fallen silent.
+    fn is_heard_around(&self, crash: &PendingCrash, silent: &SilentRunners<'_>) -> bool {
+        let is_asked = |name: &RunnerName| *name != crash.runner && !silent.is_removed(name);
+        let silent_by = silent.silent_by(&crash.runner);
+        silent_by.is_some_and(|by| self.life_signs.are_most_heard(&crash.service, is_asked, by))
     }
 
     fn add(&mut self, pending: Pending) -> PendingId {
--- a/crates/gateway/tests/pending_crashes.rs
+++ b/crates/gateway/tests/pending_crashes.rs
@@ -97,6 +97,7 @@
     let (mut pending, _) = sent_to(runners);
     for number in 1..=runners {
         pending.note_removal(&crash(number).runner, Some(FIRST_START), Millis(2_000 + 100 * u64::from(number)));
+        pending.note_gone(&crash(number).runner);
     }
     (pending, Millis(10_000))
 }
@@ -169,6 +170,7 @@
     let mut pending = ended();
 
     pending.note_removal(&crash(1).runner, Some(FIRST_START), Millis(2_000));
+    pending.note_gone(&crash(1).runner);
 
     assert_eq!(pending.take_removed(none, Millis(6_000)), []);
 }
@@ -196,6 +198,7 @@
 fn a_runner_that_fell_silent_by_itself_is_counted_soon() {
     let mut pending = silent_runners(&[2, 3, 4, 5, 6]);
     pending.note_removal(&crash(1).runner, Some(FIRST_START), Millis(4_000));
+    pending.note_gone(&crash(1).runner);
 
     let early = pending.take_removed(none, Millis(4_400));
     let later = pending.take_removed(none, Millis(4_500));
@@ -211,9 +214,12 @@
 
     for pending in [&mut of_three, &mut of_all] {
         pending.note_removal(&crash(1).runner, Some(FIRST_START), Millis(4_000));
+        pending.note_gone(&crash(1).runner);
         assert_eq!(pending.take_removed(none, Millis(5_000)), []);
         pending.note_removal(&crash(2).runner, Some(FIRST_START), Millis(5_000));
+        pending.note_gone(&crash(2).runner);
         pending.note_removal(&crash(3).runner, Some(FIRST_START), Millis(5_100));
+        pending.note_gone(&crash(3).runner);
         assert_eq!(pending.take_removed(none, Millis(9_000)), [], "three fell silent together");
     }
 }
@@ -225,9 +231,22 @@
     pending.note_alive(&record(7, FIRST_START, true), Millis(2_000));
     pending.note_alive(&record(8, FIRST_START, true), Millis(2_000));
     pending.note_removal(&crash(1).runner, Some(FIRST_START), Millis(4_000));
+    pending.note_gone(&crash(1).runner);
 
     let unexplained = pending.take_removed(none, Millis(4_600));
     let explained = pending.take_removed(is_known, Millis(4_700));
 
     assert_eq!((unexplained, explained), (vec![], vec![crash(1)]));
 }
+
+/// Entries that lapsed while the store was away return within two seconds of its return.
+#[test]
+fn the_removal_of_an_entry_that_may_return_shows_nothing() {
+    let (mut pending, _) = sent_to(1);
+
+    pending.note_removal(&crash(1).runner, Some(FIRST_START), Millis(2_000));
+    let kept = pending.take_removed(none, Millis(5_000));
+    pending.note_gone(&crash(1).runner);
+
+    assert_eq!((kept, pending.take_removed(none, Millis(5_100))), (vec![], vec![crash(1)]));
+}
--- a/crates/gateway/tests/silent_runners.rs
+++ b/crates/gateway/tests/silent_runners.rs
@@ -221,6 +221,7 @@
             for daemon in &mut self.daemons {
                 let RunnerRecord { name, started_at, .. } = record(runner.number);
                 daemon.pending.note_removal(&name, Some(started_at), now);
+                daemon.pending.note_gone(&name);
             }
         }
         for _ in 0..started {
