Do not count a search for another runner as demand

Cause: since a stalled stream asks for a free runner every 250 ms; each query was counted as a prompt that was asked for, and refused, by the daemon that orders runners. Found by reading; only where that duty is configured. Change: PlaceQuery and PlacementRequest say that the request has a runner.

--- a/crates/gateway/src/fleet/placement_request.rs
+++ b/crates/gateway/src/fleet/placement_request.rs
@@ -22,6 +22,8 @@
     /// Whether a runner with a rate limit may be chosen; only the placement leader does, since it knows what all daemons
     /// send there.
     pub uses_limited: bool,
+    /// Whether the request has a runner already, which is silent; it is counted as demand once.
+    pub is_placed: bool,
 }
 
 /// Requests that may pause for less than this are kept apart from long prompts: each prefill chunk of a long prompt delays
--- a/crates/gateway/src/forward/successor.rs
+++ b/crates/gateway/src/forward/successor.rs
@@ -30,7 +30,7 @@
         }
         let mut tried = self.job.tried.clone();
         tried.push(silent.record.name.clone());
-        let request = PlacementRequest { tried: &tried, ..self.job.placement_request() };
+        let request = PlacementRequest { tried: &tried, is_placed: true, ..self.job.placement_request() };
         let Choice::Placed(placement) = place(self.gateway, &request).await else {
             return None;
         };
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -297,6 +297,9 @@
     /// Whether the request has no prompt; it asks only for a runner with a rate limit.
     #[prost(bool, tag = "13")]
     pub is_plain: bool,
+    /// Whether the request has a runner already, which is silent.
+    #[prost(bool, tag = "14")]
+    pub is_placed: bool,
 }
 
 /// The placement leader's reply to a query.
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -49,6 +49,7 @@
             target: self.route.target,
             tried: &self.tried,
             uses_limited: false,
+            is_placed: false,
         }
     }
 
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -163,7 +163,8 @@
 
 /// Counts a prompt for the daemon that orders runners, whether it was placed or not.
 fn count_demand<D: Dialect>(gateway: &Gateway<D>, request: &PlacementRequest<'_>, choice: &Choice) {
-    let Some(prompt) = request.prompt.filter(|_| gateway.settings.duties.api_for(Duty::Autoscale).is_some()) else {
+    let is_counted = !request.is_placed && gateway.settings.duties.api_for(Duty::Autoscale).is_some();
+    let Some(prompt) = request.prompt.filter(|_| is_counted) else {
         return;
     };
     let (prompt_tokens, is_refused) = match choice {
@@ -208,6 +209,7 @@
         input_tokens: prompt.map_or(0, |prompt| prompt.input_tokens),
         output_tokens: prompt.map_or(0, |prompt| prompt.output_tokens),
         is_plain: prompt.is_none(),
+        is_placed: request.is_placed,
         pause_ms: request.longest_pause.map_or(0, |pause| pause.0),
         priority: request.priority.0.into(),
         target_ms: request.target.0,
@@ -277,6 +279,7 @@
         target,
         tried: &tried,
         uses_limited: true,
+        is_placed: query.is_placed,
     };
     let now = gateway.now();
     let mut fleet = gateway.fleet();
--- a/crates/gateway/tests/burst/main.rs
+++ b/crates/gateway/tests/burst/main.rs
@@ -126,6 +126,7 @@
                 target: class.target,
                 tried: &[],
                 uses_limited: true,
+                is_placed: false,
             },
             now,
         );
--- a/crates/gateway/tests/even_load.rs
+++ b/crates/gateway/tests/even_load.rs
@@ -44,6 +44,7 @@
         target,
         tried: &[],
         uses_limited: false,
+        is_placed: false,
     };
     match fleet.choose(&request, now) {
         Choice::Placed(placement) => placement.key,
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -71,6 +71,7 @@
             target,
             tried: &[],
             uses_limited: false,
+            is_placed: false,
         },
         now,
     )
@@ -321,6 +322,7 @@
         target,
         tried: &[],
         uses_limited: false,
+        is_placed: false,
     };
     let choose_plain = |fleet: &Fleet| match fleet.choose(&plain, Millis(0)) {
         Choice::Placed(placement) => placement,
--- a/crates/gateway/tests/outliers.rs
+++ b/crates/gateway/tests/outliers.rs
@@ -74,6 +74,7 @@
             target: Millis(250),
             tried: &[],
             uses_limited: true,
+            is_placed: false,
         };
         let Choice::Placed(placement) = fleet.choose(&request, now) else {
             panic!("request {number} was not placed");
--- a/crates/gateway/tests/rate_limits.rs
+++ b/crates/gateway/tests/rate_limits.rs
@@ -66,6 +66,7 @@
         target: Millis(300),
         tried: &[],
         uses_limited,
+        is_placed: false,
     };
     fleet.choose(&request, now)
 }
--- a/crates/gateway/tests/spread.rs
+++ b/crates/gateway/tests/spread.rs
@@ -53,6 +53,7 @@
         target: Millis(1_500),
         tried: &[],
         uses_limited: true,
+        is_placed: false,
     };
     let Choice::Placed(placement) = fleet.choose(&request, now) else {
         return None;
@@ -113,6 +114,7 @@
         target: Millis(300),
         tried: &[],
         uses_limited: true,
+        is_placed: false,
     };
     let Choice::Placed(urgent) = fleet.choose(&request, now) else {
         panic!("the urgent request was not placed");
