Split waiting for an answer's head from sending it, and name the steps of a stream

Change: answer_head.rs holds what waits for a head; relay keeps its loop, with the handling of a break, of progress and of the end beside it. No change of behaviour.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Forwards one request to runners, with retries, and relays the answer to the caller.
 
+mod answer_head;
 mod attempt;
 mod crash;
 mod in_flight;
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -2,20 +2,19 @@
 
 use std::fmt;
 use std::future::pending;
-use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use async_io::Timer;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::or;
 use teaselcroft_parts::Millis;
 
 use super::Forwarder;
+use super::answer_head::HeadFailure;
 use super::crash::BreakPoint;
 use super::in_flight::InFlight;
 use super::pending_attempt::PendingAttempt;
 use super::run_count::RunCount;
-use super::successor::{SEARCH_INTERVAL, Successor};
+use super::successor::Successor;
 use crate::dialect::{Dialect, RunnerFields, RunnerReply};
 use crate::fleet::Placement;
 use crate::http::{
@@ -27,30 +26,15 @@
 /// How long connecting to a runner may take.
 pub(super) const CONNECT_TIMEOUT: Millis = Millis(300);
 
-/// The largest response head accepted from a runner.
-const MAX_HEAD_BYTES: usize = 32_768;
-
 /// The largest body of an answer that is buffered before it is relayed.
 const MAX_BUFFERED_BYTES: usize = 4 << 20;
 
-/// Answers to earlier requests that are skipped on one connection before it is given up.
-const MAX_SKIPPED_ANSWERS: u32 = 3;
-
-/// The most bytes of such answers' bodies; a runner in trouble may send a body without end.
-const MAX_SKIPPED_BYTES: usize = 1 << 20;
-
-/// The most interim responses before an answer.
-const MAX_INTERIM_RESPONSES: u32 = 16;
-
 /// The longest idle time of a pooled connection that may carry a request which must not be retried.
 const MAX_IDLE_UNSAFE: Millis = Millis(800);
 
 /// The longest idle time of a pooled connection that may carry a repeatable request.
 const MAX_IDLE_REPEATABLE: Millis = Millis(30_000);
 
-/// The shortest wait for an answer before another runner is looked for.
-const MIN_ATTEMPT_TIMEOUT: Millis = Millis(150);
-
 /// The outcome of one attempt.
 #[derive(Debug)]
 pub(super) enum AttemptOutcome {
@@ -89,16 +73,6 @@
     }
 }
 
-/// Why no response head for this request was read.
-enum HeadFailure {
-    Disconnected,
-    /// The bytes are no answer, for the stated reason.
-    Malformed(&'static str),
-    /// No head came in time, and the successor takes over.
-    Silent(Box<Successor>),
-    Blocked,
-}
-
 impl<D: Dialect> Forwarder<'_, D> {
     /// Sends the request to the placement's runner, on `opened` if it is connected already, and relays the answer.
     pub(super) async fn attempt(
@@ -141,13 +115,7 @@
             Ok(answer) => answer,
             Err(failure) => return self.note_head_failure(placement, failure).await,
         };
-        self.gateway.fleet().answered(placement.key);
-        if !self.gateway.dialect.is_misdirected(head.status) {
-            let now = self.gateway.now();
-            let mut pending = self.gateway.pending_crashes();
-            pending.note_answer(&placement.record, sent_at);
-            pending.note_alive(&placement.record, now);
-        }
+        self.note_head(placement, &head, sent_at);
         let is_reusable = written.load(Ordering::Relaxed);
         if write_failed.load(Ordering::Relaxed) {
             connection.note_failed_write();
@@ -185,6 +153,18 @@
         self.relay_buffered(placement, connection, head, reply, length, is_reusable).await
     }
 
+    /// Records that the runner lives, as the head of an answer arrived.
+    fn note_head(&self, placement: &Placement, head: &ResponseHead, sent_at: Millis) {
+        self.gateway.fleet().answered(placement.key);
+        if self.gateway.dialect.is_misdirected(head.status) {
+            return;
+        }
+        let now = self.gateway.now();
+        let mut pending = self.gateway.pending_crashes();
+        pending.note_answer(&placement.record, sent_at);
+        pending.note_alive(&placement.record, now);
+    }
+
     async fn note_head_failure(&mut self, placement: &Placement, failure: HeadFailure) -> AttemptOutcome {
         match failure {
             HeadFailure::Blocked => return AttemptOutcome::Withdrawn,
@@ -278,91 +258,6 @@
         }
     }
 
-    /// Waits for the head of this request's answer. After `head_timeout` another runner is looked for as well.
-    async fn wait_for_head(
-        &self,
-        connection: &mut Connection,
-        is_kept: bool,
-        placement: &Placement,
-    ) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
-        let mut read = pin!(self.read_matching_head(connection, is_kept));
-        let Some(timeout) = self.head_timeout(placement.pressure) else {
-            return read.await;
-        };
-        if let Some(head) = or(async { Some(read.as_mut().await) }, elapse(timeout)).await {
-            return head;
-        }
-        let mut is_logged = false;
-        loop {
-            if let Some(successor) = self.find_successor(placement).await {
-                return Err(HeadFailure::Silent(successor));
-            }
-            if !std::mem::replace(&mut is_logged, true) {
-                self.log_silence(placement);
-            }
-            if let Some(head) = or(async { Some(read.as_mut().await) }, elapse(SEARCH_INTERVAL)).await {
-                return head;
-            }
-        }
-    }
-
-    /// Reads the head of this request's answer; skips interim responses and late answers to earlier requests. Runners
-    /// repeat the request's id, so that on a connection which is kept an answer without an id may be to an earlier one.
-    async fn read_matching_head(
-        &self,
-        connection: &mut Connection,
-        is_kept: bool,
-    ) -> Result<(ResponseHead, RunnerReply), HeadFailure> {
-        let (mut skipped, mut interim, mut skipped_bytes) = (0, 0, 0);
-        loop {
-            let head = read_head(connection).await?;
-            if head.status < 200 {
-                interim += 1;
-                if interim > MAX_INTERIM_RESPONSES {
-                    return Err(HeadFailure::Malformed("too many interim responses"));
-                }
-                continue;
-            }
-            let reply = self.gateway.dialect.reply(&head.fields);
-            let is_for_other = match reply.request_id.as_deref() {
-                Some(id) => id != self.job.caller_fields.request_id,
-                None => is_kept,
-            };
-            if !is_for_other {
-                return Ok((head, reply));
-            }
-            let length = response_body("GET", &head)
-                .map_err(|_| HeadFailure::Malformed("an answer to another request is malformed"))?;
-            if length == BodyLength::UntilClose || skipped >= MAX_SKIPPED_ANSWERS {
-                return Err(HeadFailure::Malformed("answers to other requests do not end"));
-            }
-            skipped += 1;
-            let (mut reader, mut body) = (BodyReader::new(length), Vec::new());
-            while reader.next(connection, &mut body).await.map_err(|_| HeadFailure::Disconnected)? {
-                skipped_bytes += body.len();
-                if skipped_bytes > MAX_SKIPPED_BYTES {
-                    return Err(HeadFailure::Malformed("answers to other requests are too long"));
-                }
-                body.clear();
-            }
-        }
-    }
-
-    /// How long to wait for the head of this runner's answer before another runner is looked for; `None` if none may be.
-    /// A stream also gets the time for the prompt tokens queued at the runner, since it would queue anew elsewhere.
-    fn head_timeout(&self, pressure: Millis) -> Option<Millis> {
-        let route = &self.job.route;
-        if !self.allows_attempt() {
-            return None;
-        }
-        let left = self.job.deadline.since(self.gateway.now());
-        let span = match route.kind {
-            RouteKind::Streaming => Millis((route.target.0 + pressure.0) * 2),
-            _ => Millis(route.target.0.min(left.0 * 2 / 5)),
-        };
-        Some(span.max(MIN_ATTEMPT_TIMEOUT))
-    }
-
     /// Logs why a runner's bytes are not read further.
     pub(super) fn log_cut_off(&self, placement: &Placement, reason: impl fmt::Display) {
         log_event!(
@@ -414,26 +309,6 @@
     }
 }
 
-/// Returns `None` after `span`.
-async fn elapse<T>(span: Millis) -> Option<T> {
-    Timer::after(span.into()).await;
-    None
-}
-
-async fn read_head(connection: &mut Connection) -> Result<ResponseHead, HeadFailure> {
-    loop {
-        let parsed = ResponseHead::parse(connection.bytes(), MAX_HEAD_BYTES)
-            .map_err(|_| HeadFailure::Malformed("the head is malformed or too long"))?;
-        if let Some((head, used)) = parsed {
-            connection.consume(used);
-            return Ok(head);
-        }
-        if connection.fill().await.map_err(|_| HeadFailure::Disconnected)? == 0 {
-            return Err(HeadFailure::Disconnected);
-        }
-    }
-}
-
 /// The runner's idle timeout: `None` if it closes the connection, `Some(None)` if it keeps it and states no timeout.
 fn idle_timeout(head: &ResponseHead) -> Option<Option<Millis>> {
     if !head.keeps_alive() {
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -28,6 +28,16 @@
 /// A stream with this many events is being answered; a runner may crash as it begins to.
 const ANSWERING_EVENTS: u64 = 2;
 
+/// How a stream goes on at its runner.
+struct Progress {
+    /// When another runner is looked for unless an event arrives before; `None` if none may be.
+    search_at: Option<Millis>,
+    /// Whether the log says that the runner is silent.
+    is_logged: bool,
+    /// When an event was last noted as a sign of life.
+    alive_at: Millis,
+}
+
 impl<D: Dialect> Forwarder<'_, D> {
     /// Relays the stream to the caller until it ends or breaks.
     pub(super) async fn relay(
@@ -42,32 +52,16 @@
         let head = self.head.get_or_insert(head).clone();
         let mut reader = BodyReader::new(length);
         let mut chunk = Vec::new();
-        let mut search_at = self.silence_end();
-        let mut is_logged = false;
-        let mut alive_at = self.gateway.now();
+        let mut progress = Progress { search_at: self.silence_end(), is_logged: false, alive_at: self.gateway.now() };
         loop {
             let count = self.events.count();
-            match self.next_bytes(&mut reader, connection, search_at).await {
+            match self.next_bytes(&mut reader, connection, progress.search_at).await {
                 Ok(true) => {}
                 Ok(false) => break,
-                Err(BodyError::Stalled) => {
-                    if let Some(successor) = self.find_successor(placement).await {
-                        self.pending = None;
-                        self.events.drop_partial();
-                        return AttemptOutcome::Silent(successor);
-                    }
-                    if !std::mem::replace(&mut is_logged, true) {
-                        self.log_silence(placement);
-                    }
-                    search_at = Some(self.gateway.now() + SEARCH_INTERVAL);
-                    continue;
-                }
-                Err(error) => {
-                    if matches!(error, BodyError::Incomplete) {
-                        self.record_crash(placement, BreakPoint::Stream).await;
-                    }
-                    return self.interrupted();
-                }
+                Err(error) => match self.handle_break(placement, &error, &mut progress).await {
+                    Some(outcome) => return outcome,
+                    None => continue,
+                },
             }
             in_flight.end_prefill();
             match self.events.take_events(&mut chunk) {
@@ -90,15 +84,50 @@
             }
             chunk.clear();
             if self.events.count() > count {
-                search_at = self.silence_end();
-                is_logged = false;
-                let now = self.gateway.now();
-                if now.since(alive_at) >= LIFE_SIGN_INTERVAL {
-                    alive_at = now;
-                    self.gateway.pending_crashes().note_alive(&placement.record, now);
-                }
+                self.note_progress(placement, &mut progress);
             }
         }
+        self.end_stream(placement, &head, length).await
+    }
+
+    /// Handles that reading the stream failed: how the attempt ends, or `None` if the silent runner is waited for.
+    async fn handle_break(
+        &mut self,
+        placement: &Placement,
+        error: &BodyError,
+        progress: &mut Progress,
+    ) -> Option<AttemptOutcome> {
+        if matches!(error, BodyError::Incomplete) {
+            self.record_crash(placement, BreakPoint::Stream).await;
+        }
+        if !matches!(error, BodyError::Stalled) {
+            return Some(self.interrupted());
+        }
+        if let Some(successor) = self.find_successor(placement).await {
+            self.pending = None;
+            self.events.drop_partial();
+            return Some(AttemptOutcome::Silent(successor));
+        }
+        if !std::mem::replace(&mut progress.is_logged, true) {
+            self.log_silence(placement);
+        }
+        progress.search_at = Some(self.gateway.now() + SEARCH_INTERVAL);
+        None
+    }
+
+    /// Records that an event arrived.
+    fn note_progress(&self, placement: &Placement, progress: &mut Progress) {
+        progress.search_at = self.silence_end();
+        progress.is_logged = false;
+        let now = self.gateway.now();
+        if now.since(progress.alive_at) >= LIFE_SIGN_INTERVAL {
+            progress.alive_at = now;
+            self.gateway.pending_crashes().note_alive(&placement.record, now);
+        }
+    }
+
+    /// Ends the caller's stream after the runner's body has ended, unless that was cut.
+    async fn end_stream(&mut self, placement: &Placement, head: &ResponseHead, length: BodyLength) -> AttemptOutcome {
         // Only the events say whether a body that ends with its connection is whole.
         let is_unframed = length == BodyLength::UntilClose;
         if is_unframed && (self.events.is_mid_event() || self.events.count() == 0) {
@@ -111,7 +140,7 @@
         if !is_unframed {
             self.note_complete(head.status);
         }
-        match self.caller.finish(&head).await {
+        match self.caller.finish(head).await {
             Ok(()) => AttemptOutcome::Complete,
             Err(_) => AttemptOutcome::CallerGone,
         }
