Name an open connection and a span of silence instead of passing pairs

Cause: a connection and whether it was kept, and the two ends of a silence, went through several functions as unnamed pairs. Change: OpenConnection, Silence; order and wording of comments. No change of behaviour.

--- a/crates/gateway/src/crash_tracker.rs
+++ b/crates/gateway/src/crash_tracker.rs
@@ -114,8 +114,8 @@
         parts.iter().copied().filter(|part| self.clear(*part, now)).collect()
     }
 
-    /// Records that a runner sent a whole answer that judges the request, which clears the request's `content` of earlier crashes. Later ones
-    /// count. Returns whether it had any.
+    /// Records that a runner sent a whole answer that judges the request, which clears its `content` of earlier crashes. Later
+    /// ones count. Returns whether it had any.
     pub fn note_complete(&mut self, content: Suspect, now: Millis) -> bool {
         self.clear(content, now)
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod crash;
 mod in_flight;
+mod open_connection;
 mod pending_attempt;
 mod relay;
 mod run_count;
@@ -139,8 +140,8 @@
         self.gateway.retries().count_request(&self.job.service, self.gateway.now());
         self.wait_for_runners().await;
         loop {
-            let (placement, connection) = match self.successor.take() {
-                Some(next) => (next.placement, Some((next.connection, next.is_kept))),
+            let (placement, opened) = match self.successor.take() {
+                Some(next) => (next.placement, Some(next.opened)),
                 None => match place(self.gateway, &self.job.placement_request()).await {
                     Choice::Placed(placement) => (placement, None),
                     Choice::Full => return self.give_up("runners are full", RETRY_AFTER_FULL).await,
@@ -151,7 +152,7 @@
                 return self.give_up("it crashed runners", RETRY_AFTER_CRASHES).await;
             }
             self.log_placement(&placement);
-            let outcome = self.attempt(&placement, connection).await;
+            let outcome = self.attempt(&placement, opened).await;
             if let Some(pending) = self.pending.take() {
                 pending.end();
             }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -12,6 +12,7 @@
 use super::answer_head::HeadFailure;
 use super::crash::BreakPoint;
 use super::in_flight::InFlight;
+use super::open_connection::OpenConnection;
 use super::pending_attempt::PendingAttempt;
 use super::run_count::RunCount;
 use super::successor::Successor;
@@ -75,16 +76,12 @@
 
 impl<D: Dialect> Forwarder<'_, D> {
     /// Sends the request to the placement's runner, on `opened` if it is connected already, and relays the answer.
-    pub(super) async fn attempt(
-        &mut self,
-        placement: &Placement,
-        opened: Option<(Connection, bool)>,
-    ) -> AttemptOutcome {
+    pub(super) async fn attempt(&mut self, placement: &Placement, opened: Option<OpenConnection>) -> AttemptOutcome {
         let opened = match opened {
             Some(opened) => Some(opened),
             None => self.open_connection(placement).await,
         };
-        let Some((mut connection, is_kept)) = opened else {
+        let Some(OpenConnection { mut connection, is_kept }) = opened else {
             return AttemptOutcome::Unreachable;
         };
         let mut in_flight = InFlight::begin(self.gateway, placement.key, placement.prefill_tokens);
@@ -232,17 +229,17 @@
         }
     }
 
-    /// A connection to the runner, and whether it has carried requests before.
-    pub(super) async fn open_connection(&self, placement: &Placement) -> Option<(Connection, bool)> {
+    /// An open connection to the runner; `None` if none can be made.
+    pub(super) async fn open_connection(&self, placement: &Placement) -> Option<OpenConnection> {
         let now = self.gateway.now();
         let max_idle = if self.job.route.is_repeatable() { MAX_IDLE_REPEATABLE } else { MAX_IDLE_UNSAFE };
         let pooled = self.gateway.pool().take(placement.key, max_idle, now);
         if let Some(connection) = pooled {
-            return Some((connection, true));
+            return Some(OpenConnection { connection, is_kept: true });
         }
         self.gateway.metrics.connects.inc();
         match connect(placement.record.address, CONNECT_TIMEOUT, PathTimeout::default()).await {
-            Ok(connection) => Some((connection, false)),
+            Ok(connection) => Some(OpenConnection { connection, is_kept: false }),
             Err(error) => {
                 let span = self.gateway.fleet().avoid(placement.key, self.gateway.now());
                 log_event!(Event::RunnerAvoided, runner = placement.record.name, reason = error, span = span);
--- a/crates/gateway/src/forward/successor.rs
+++ b/crates/gateway/src/forward/successor.rs
@@ -3,9 +3,9 @@
 use teaselcroft_parts::Millis;
 
 use super::Forwarder;
+use super::open_connection::OpenConnection;
 use crate::dialect::Dialect;
 use crate::fleet::{Choice, Placement, PlacementRequest};
-use crate::http::Connection;
 use crate::placer::place;
 use crate::{Event, log_event};
 
@@ -16,13 +16,11 @@
 #[derive(Debug)]
 pub(super) struct Successor {
     pub placement: Placement,
-    pub connection: Connection,
-    /// Whether the connection has carried requests before.
-    pub is_kept: bool,
+    pub opened: OpenConnection,
 }
 
 impl<D: Dialect> Forwarder<'_, D> {
-    /// Looks for a runner to take over from the silent one at `silent`. While there is none, or the retry budget is used up,
+    /// Looks for a runner to take over from the `silent` one. While there is none, or the retry budget is used up,
     /// the silent runner is still the one most likely to answer.
     pub(super) async fn find_successor(&self, silent: &Placement) -> Option<Box<Successor>> {
         if !self.has_time() || !self.has_retry() {
@@ -37,8 +35,8 @@
         if self.is_blocked() {
             return None;
         }
-        let (connection, is_kept) = self.open_connection(&placement).await?;
-        self.take_retry().then(|| Box::new(Successor { placement, connection, is_kept }))
+        let opened = self.open_connection(&placement).await?;
+        self.take_retry().then(|| Box::new(Successor { placement, opened }))
     }
 
     /// Logs that a runner is silent while no other one takes the request.
--- a/crates/gateway/src/pending_crashes.rs
+++ b/crates/gateway/src/pending_crashes.rs
@@ -14,6 +14,7 @@
 use crate::crash_tracker::Suspect;
 use life_signs::LifeSigns;
 pub use pending_crash::PendingCrash;
+use silence::Silence;
 use silent_runners::SilentRunners;
 
 /// A runner that crashed registers its next start within this time: a few seconds until it serves, and its first write.
@@ -23,15 +24,15 @@
 /// may still serve, its entry may return, and the entries of other runners that are cut off vanish within it.
 const REMOVAL_TIME: Millis = Millis(2_000);
 
+/// The shortest time after which it is evidence: entries of runners that live on may vanish and return at once.
+const MIN_REMOVAL_TIME: Millis = Millis(500);
+
 /// How long a removal may become evidence, as the silence of other runners is explained.
 const MAX_REMOVAL_TIME: Millis = Millis(4_000);
 
 /// How long a vanished entry is remembered: until none that vanished together with it may become evidence.
 const REMOVAL_TTL: Millis = Millis(6_000);
 
-/// The shortest such time. Entries of runners that live on may vanish and return, mostly several together.
-const MIN_REMOVAL_TIME: Millis = Millis(500);
-
 /// If more runners may have fallen silent at the same moment, they were cut off or released together, which says nothing of
 /// the requests that they had. Fewer than it takes to block a request.
 const MAX_SILENT_TOGETHER: usize = 2;
@@ -220,13 +221,14 @@
         let mut silent = SilentRunners::default();
         for pending in self.pending.values().filter(|pending| pending.is_unanswered && pending.due_at < now) {
             let crash = &pending.crash;
-            let heard_at = self.life_signs.last_at(&crash.runner);
-            if heard_at <= pending.due_at {
-                silent.add(&crash.runner, Some(crash.started_at), (heard_at, pending.due_at), None);
+            let silence = Silence { after: self.life_signs.last_at(&crash.runner), by: pending.due_at };
+            if silence.after <= silence.by {
+                silent.add(&crash.runner, Some(crash.started_at), silence, None);
             }
         }
         for Removal { at, runner, started_at } in &self.removals {
-            silent.add(runner, *started_at, (self.life_signs.last_at(runner), *at), Some(*at));
+            let silence = Silence { after: self.life_signs.last_at(runner), by: *at };
+            silent.add(runner, *started_at, silence, Some(*at));
         }
         silent
     }
--- a/crates/gateway/src/pending_crashes/silent_runners.rs
+++ b/crates/gateway/src/pending_crashes/silent_runners.rs
@@ -16,17 +16,10 @@
 pub struct SilentRunners<'a>(BTreeMap<&'a RunnerName, SilentRunner>);
 
 impl<'a> SilentRunners<'a> {
-    /// Adds that a runner fell silent after it was heard, and no later than `by`.
-    pub fn add(
-        &mut self,
-        name: &'a RunnerName,
-        started_at: Option<i64>,
-        (after, by): (Millis, Millis),
-        removed_at: Option<Millis>,
-    ) {
-        let silence = Silence { after, by };
+    /// Adds what shows that a runner fell silent: an answer that it owes, or that its entry vanished at `removed_at`.
+    pub fn add(&mut self, name: &'a RunnerName, started_at: Option<i64>, silence: Silence, removed_at: Option<Millis>) {
         let runner = self.0.entry(name).or_insert(SilentRunner { started_at, silence, removed_at });
-        runner.silence.by = runner.silence.by.min(by).max(after);
+        runner.silence.by = runner.silence.by.min(silence.by).max(silence.after);
         runner.removed_at = runner.removed_at.max(removed_at);
     }
 
